--- /dev/null
+++ b/packages/core/store.h
@@ -0,0 +1,104 @@
+#ifndef PACKAGES_CORE_STORE_H_
+#define PACKAGES_CORE_STORE_H_
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "packages/core/ids.h"
+#include "packages/core/name_table.h"
+#include "packages/core/time.h"
+
+namespace carobrill {
+
+/// Why a call to the log service did not succeed.
+enum class StoreFailure {
+  kNone,
+  /// The service refused the call; nothing was written.
+  kUnavailable,
+  /// No whole response arrived; an append may have taken effect.
+  kNoAnswer,
+  /// The offset that was asked for is no longer retained.
+  kExpired,
+  /// The response does not follow the protocol; an append may have taken
+  /// effect.
+  kMalformed,
+};
+
+constexpr auto NamesOf(StoreFailure) {
+  return MakeNameTable<StoreFailure>({
+      {StoreFailure::kNone, "none"},
+      {StoreFailure::kUnavailable, "unavailable"},
+      {StoreFailure::kNoAnswer, "no_answer"},
+      {StoreFailure::kExpired, "expired"},
+      {StoreFailure::kMalformed, "malformed"},
+  });
+}
+
+/// A record as the log service holds it.
+struct StoreRecord {
+  Offset offset = 0;
+  Instant appended_at;
+  std::string data;
+
+  bool operator==(const StoreRecord&) const = default;
+};
+
+/// Response to an append; `lineage` and `first_offset` count on success only.
+struct AppendReply {
+  StoreFailure failure = StoreFailure::kNone;
+  std::string lineage;
+  Offset first_offset = 0;
+};
+
+/// What to read: at most `max` records from offset `from`; the service waits
+/// up to `wait_ms` when there are none yet.
+struct ReadQuery {
+  std::string stream;
+  Offset from = 0;
+  std::uint32_t max = 0;
+  std::int64_t wait_ms = 0;
+};
+
+/// Response to a read. With kExpired only `oldest_offset` and, when the service
+/// names it, `lineage` count.
+struct ReadReply {
+  StoreFailure failure = StoreFailure::kNone;
+  std::string lineage;
+  Offset oldest_offset = 0;
+  /// Offset after the last record of the stream.
+  Offset next_offset = 0;
+  std::vector<StoreRecord> records;
+};
+
+using AppendCallback = std::function<void(AppendReply)>;
+using ReadCallback = std::function<void(ReadReply)>;
+
+/// Access to the streams of a log service. Each callback runs once, later, on
+/// the task of the caller; calls end at `deadline` at the latest.
+template <typename T>
+concept Store = requires(T& store,
+                         const std::string& stream,
+                         std::vector<std::string> records,
+                         ReadQuery query,
+                         Instant deadline,
+                         AppendCallback on_append,
+                         ReadCallback on_read) {
+  store.Append(stream, records, deadline, on_append);
+  store.Read(query, deadline, on_read);
+};
+
+/// Time and delayed calls on one task.
+template <typename T>
+concept Scheduler = requires(T& scheduler,
+                             Instant deadline,
+                             std::function<void()> message) {
+  { scheduler.Now() } -> std::same_as<Instant>;
+  scheduler.PostAt(deadline, message);
+};
+
+}  // namespace carobrill
+
+#endif  // PACKAGES_CORE_STORE_H_
--- /dev/null
+++ b/packages/platform/log_client.h
@@ -0,0 +1,38 @@
+#ifndef PACKAGES_PLATFORM_LOG_CLIENT_H_
+#define PACKAGES_PLATFORM_LOG_CLIENT_H_
+
+#include <string>
+#include <vector>
+
+#include "packages/core/store.h"
+#include "packages/platform/http_client.h"
+
+namespace carobrill::platform {
+
+/// The concept `Store` over the HTTP interface of the log service. Callbacks
+/// run on the task of the HTTP client.
+class LogClient {
+ public:
+  /// `url` is the base address of the service, without a slash at the end;
+  /// `client` must outlive this object.
+  LogClient(HttpClient& client, std::string url);
+
+  /// Appends `records` in one batch.
+  void Append(const std::string& stream,
+              const std::vector<std::string>& records,
+              Instant deadline,
+              AppendCallback callback);
+
+  /// Reads one part of a stream.
+  void Read(const ReadQuery& query, Instant deadline, ReadCallback callback);
+
+ private:
+  std::string UrlOf(const std::string& stream) const;
+
+  HttpClient& client;
+  std::string url;
+};
+
+}  // namespace carobrill::platform
+
+#endif  // PACKAGES_PLATFORM_LOG_CLIENT_H_
--- /dev/null
+++ b/packages/testing/log_store.h
@@ -0,0 +1,53 @@
+#ifndef PACKAGES_TESTING_LOG_STORE_H_
+#define PACKAGES_TESTING_LOG_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "packages/core/store.h"
+
+namespace carobrill::testing {
+
+/// The streams of a log service in memory. Calls take effect at once; the
+/// caller adds delays, outages and lost answers.
+class LogStore {
+ public:
+  /// Appends `records` at `now` as one batch.
+  AppendReply Append(const std::string& stream,
+                     const std::vector<std::string>& records,
+                     Instant now);
+
+  /// Reads at most `query.max` records; `wait_ms` is for the caller.
+  ReadReply Read(const ReadQuery& query) const;
+
+  /// Drops the records of `stream` before `offset`.
+  void ExpireBefore(const std::string& stream, Offset offset);
+
+  /// Restarts the log under another lineage, empty or with its old content.
+  void StartLineage(bool keep_content);
+
+  const std::string& Lineage() const { return this->lineage; }
+  Offset NextOffset(const std::string& stream) const;
+
+  std::uint64_t Appends() const { return this->appends; }
+  std::uint64_t AppendedBytes() const { return this->appended_bytes; }
+
+ private:
+  struct Stream {
+    Offset oldest_offset = 0;
+    std::deque<StoreRecord> records;
+  };
+
+  std::string lineage = "lineage-1";
+  std::uint32_t lineage_number = 1;
+  std::map<std::string, Stream> streams;
+  std::uint64_t appends = 0;
+  std::uint64_t appended_bytes = 0;
+};
+
+}  // namespace carobrill::testing
+
+#endif  // PACKAGES_TESTING_LOG_STORE_H_
