Add the rule file parser, the diff and the rule book

Cause: rules must be in force everywhere in one order and never revert, and an operator whose file has faults should see all of them at once. Ruled out: a line diff by longest common subsequence: quadratic, and the order of rules has no meaning; a difference of the sets of lines is linear and can be composed, so the audit trail needs no old texts to explain a conflict. A refusal of 'withdraw' for a partner that no service names: an urgent withdrawal must not depend on a service line. Conclusion: Check and Publish are separate, so that the caller can ask the cluster between them.

--- /dev/null
+++ b/packages/rules/rule_diff.cc
@@ -0,0 +1,92 @@
+#include "packages/rules/rule_diff.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace carobrill::rules {
+namespace {
+
+std::string ReduceSpaces(std::string_view line) {
+  std::string reduced;
+  bool space = false;
+  for (const char c : line) {
+    if (c == ' ' || c == '\t' || c == '\r') {
+      space = !reduced.empty();
+      continue;
+    }
+    if (space) {
+      reduced += ' ';
+    }
+    space = false;
+    reduced += c;
+  }
+  return reduced;
+}
+
+std::map<std::string, int> CountLines(const std::vector<std::string>& lines) {
+  std::map<std::string, int> counts;
+  for (const auto& line : lines) {
+    ++counts[line];
+  }
+  return counts;
+}
+
+// Appends the lines that are not in `counts`, which loses one for each match.
+void AddUnmatched(const std::vector<std::string>& lines,
+                  std::map<std::string, int> counts,
+                  LineChange change,
+                  RuleDiff& diff) {
+  for (const auto& line : lines) {
+    const auto found = counts.find(line);
+    if (found != counts.end() && found->second > 0) {
+      --found->second;
+    } else {
+      diff.push_back({change, line});
+    }
+  }
+}
+
+RuleDiff Difference(const std::vector<std::string>& old_lines,
+                    const std::vector<std::string>& new_lines) {
+  RuleDiff diff;
+  AddUnmatched(old_lines, CountLines(new_lines), LineChange::kRemoved, diff);
+  AddUnmatched(new_lines, CountLines(old_lines), LineChange::kAdded, diff);
+  return diff;
+}
+
+}  // namespace
+
+std::vector<std::string> RuleLines(std::string_view text) {
+  std::vector<std::string> lines;
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const auto end = std::min(text.find('\n', begin), text.size());
+    std::string line = ReduceSpaces(text.substr(begin, end - begin));
+    if (!line.empty() && line.front() != '#') {
+      lines.push_back(std::move(line));
+    }
+    begin = end + 1;
+  }
+  return lines;
+}
+
+// The order of rules has no meaning, so a comparison of the sets of lines is
+// enough; it takes linear space, and the diffs of versions can be composed.
+RuleDiff Diff(std::string_view old_text, std::string_view new_text) {
+  return Difference(RuleLines(old_text), RuleLines(new_text));
+}
+
+RuleDiff Compose(const RuleDiff& first, const RuleDiff& second) {
+  std::vector<std::string> removed;
+  std::vector<std::string> added;
+  for (const auto* diff : {&first, &second}) {
+    for (const auto& line : *diff) {
+      (line.change == LineChange::kRemoved ? removed : added)
+          .push_back(line.text);
+    }
+  }
+  return Difference(removed, added);
+}
+
+}  // namespace carobrill::rules
--- /dev/null
+++ b/tests/rules/rule_book_test.cc
@@ -0,0 +1,140 @@
+#include "packages/rules/rule_book.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+
+#include "packages/records/foldable.h"
+
+namespace carobrill::rules {
+namespace {
+
+using records::Verdict;
+
+static_assert(records::Foldable<RuleBook>);
+
+records::Record Publication(std::uint64_t base, const std::string& text) {
+  records::Record record;
+  auto* published = record.mutable_rules_published();
+  published->set_base_version(base);
+  published->set_author("operator");
+  published->set_text(text);
+  return record;
+}
+
+std::string Quota(const std::string& account, int quota) {
+  return "account " + account + " quota=" + std::to_string(quota) +
+         " # asked by: A\n";
+}
+
+// Guards against an edit that silently undoes a concurrent one, and against a
+// conflict that doesn't show the operator what was missed.
+TEST_CASE("holds.rules: the first of two concurrent publications wins") {
+  RuleBook book;
+  CHECK(book.Apply(Publication(0, Quota("a", 1)), 5, Instant{50}) ==
+        Verdict::kAccepted);
+  CHECK(book.Apply(Publication(0, Quota("a", 2)), 6, Instant{60}) ==
+        Verdict::kVersionConflict);
+  CHECK(book.Version() == 1);
+  CHECK(book.Rules().accounts.at(AccountId("a")).quota == 1);
+  CHECK(book.Apply(Publication(1, Quota("a", 3) + Quota("b", 1)), 7,
+                   Instant{70}) == Verdict::kAccepted);
+  const RuleDiff since_first = {
+      {LineChange::kRemoved, "account a quota=1 # asked by: A"},
+      {LineChange::kAdded, "account a quota=3 # asked by: A"},
+      {LineChange::kAdded, "account b quota=1 # asked by: A"}};
+  CHECK(book.DiffSince(1) == since_first);
+  CHECK(book.DiffSince(2) == RuleDiff{});
+  CHECK_FALSE(book.DiffSince(3).has_value());
+  REQUIRE(book.History().size() == 2);
+  CHECK(book.History()[1].author == "operator");
+  CHECK(book.History()[1].appended_at == Instant{70});
+  CHECK(book.History()[1].offset == 7);
+}
+
+// Guards against a faulty file coming into force, and against a check that
+// changes the state.
+TEST_CASE("holds.rules: a faulty publication changes nothing") {
+  RuleBook book;
+  const auto hash = book.Hash();
+  CHECK(book.Apply(Publication(0, "account a\n"), 0, {}) ==
+        Verdict::kInvalidRules);
+  CHECK(book.Apply(records::Record{}, 1, {}) == Verdict::kIgnored);
+  RuleSet parsed;
+  CHECK(book.Check(Publication(0, Quota("a", 4)).rules_published(), &parsed) ==
+        Verdict::kAccepted);
+  CHECK(parsed.accounts.at(AccountId("a")).quota == 4);
+  CHECK(book.Version() == 0);
+  CHECK(book.Hash() == hash);
+}
+
+// Guards against an audit trail that grows without bound, and against replicas
+// that differ after one was loaded from a snapshot.
+TEST_CASE("holds.replicas_agree: a long history is bounded and survives") {
+  RuleBook book;
+  for (std::uint64_t i = 0; i < 2 * RuleBook::kMaxHistory; ++i) {
+    REQUIRE(book.Apply(Publication(i, Quota("a", static_cast<int>(i))), i,
+                       Instant{1}) == Verdict::kAccepted);
+  }
+  CHECK(book.History().size() == RuleBook::kMaxHistory);
+  CHECK_FALSE(book.DiffSince(1).has_value());
+  CHECK(book.DiffSince(RuleBook::kMaxHistory).has_value());
+  records::Snapshot snapshot;
+  book.Save(snapshot);
+  RuleBook copy;
+  REQUIRE(copy.Load(snapshot));
+  CHECK(copy.Hash() == book.Hash());
+  CHECK(copy.Rules() == book.Rules());
+  const auto next = Publication(book.Version(), Quota("b", 1));
+  book.Apply(next, 999, Instant{2});
+  copy.Apply(next, 999, Instant{2});
+  CHECK(copy.Hash() == book.Hash());
+  snapshot.set_rules("\xff");
+  CHECK_FALSE(copy.Load(snapshot));
+  CHECK(copy.Hash() == book.Hash());
+}
+
+std::multiset<std::string> Patched(const std::string& text,
+                                   const RuleDiff& diff) {
+  const auto lines = RuleLines(text);
+  std::multiset<std::string> patched(lines.begin(), lines.end());
+  for (const auto& line : diff) {
+    if (line.change == LineChange::kRemoved) {
+      RC_ASSERT(patched.contains(line.text));
+      patched.erase(patched.find(line.text));
+    }
+  }
+  for (const auto& line : diff) {
+    if (line.change == LineChange::kAdded) {
+      patched.insert(line.text);
+    }
+  }
+  return patched;
+}
+
+// Guards against agents whose rules differ after a chain of diffs.
+TEST_CASE("holds.rules: diffs and their composition lead to the new text") {
+  const bool passed =
+      rc::check([](const std::vector<std::vector<bool>>& files) {
+        std::vector<std::string> texts{""};
+        RuleDiff composed;
+        for (const auto& lines : files) {
+          std::string text = "# comment\n";
+          for (std::size_t i = 0; i < lines.size(); ++i) {
+            text += lines[i] ? Quota("a" + std::to_string(i % 4), 1) : "\n";
+          }
+          const RuleDiff diff = Diff(texts.back(), text);
+          RC_ASSERT(Patched(texts.back(), diff) == Patched(text, {}));
+          composed = Compose(composed, diff);
+          texts.push_back(text);
+        }
+        RC_ASSERT(Patched("", composed) == Patched(texts.back(), {}));
+      });
+  CHECK(passed);
+  CHECK(Diff("a # x\n\n b  # y", "b # y\na\t# x").empty());
+}
+
+}  // namespace
+}  // namespace carobrill::rules
