--- a/packages/ledger/appender.h
+++ b/packages/ledger/appender.h
@@ -92,6 +92,7 @@
     bool read_back = false;
   };
 
+  std::deque<Queued>::iterator FindQueued(ProposalId proposal);
   void FormBatch();
   std::int64_t BackoffMs() const;
   void FinishBatchWhenRead();
--- /dev/null
+++ b/packages/ledger/backlog.cc
@@ -0,0 +1,45 @@
+#include "packages/ledger/backlog.h"
+
+#include <utility>
+
+namespace carobrill::ledger {
+
+Backlog::Backlog(std::size_t max_bytes) : max_bytes(max_bytes) {}
+
+void Backlog::Reset(std::string name, Offset offset) {
+  this->lineage = std::move(name);
+  this->first_offset = offset;
+  this->next_offset = offset;
+  this->bytes = 0;
+  this->records.clear();
+}
+
+void Backlog::Add(const StoreRecord& record) {
+  if (record.offset != this->next_offset) {
+    this->Reset(this->lineage, record.offset);
+  }
+  this->records.push_back(record);
+  this->bytes += record.data.size();
+  this->next_offset = record.offset + 1;
+  while (this->bytes > this->max_bytes) {
+    this->bytes -= this->records.front().data.size();
+    this->records.pop_front();
+    ++this->first_offset;
+  }
+}
+
+bool Backlog::Covers(const std::string& name, Offset offset) const {
+  return !name.empty() && name == this->lineage &&
+         offset >= this->first_offset && offset <= this->next_offset;
+}
+
+std::vector<StoreRecord> Backlog::From(Offset offset) const {
+  if (offset < this->first_offset || offset >= this->next_offset) {
+    return {};
+  }
+  const auto begin = this->records.begin() +
+                     static_cast<std::ptrdiff_t>(offset - this->first_offset);
+  return {begin, this->records.end()};
+}
+
+}  // namespace carobrill::ledger
--- /dev/null
+++ b/packages/ledger/peer_sync.cc
@@ -0,0 +1,15 @@
+#include "packages/ledger/peer_sync.h"
+
+namespace carobrill::ledger {
+
+std::size_t PeerState::Bytes() const {
+  // Offset and append time as fixed numbers.
+  constexpr std::size_t kBytesPerRecord = 16;
+  std::size_t bytes = this->snapshot.size();
+  for (const auto& record : this->records) {
+    bytes += record.data.size() + kBytesPerRecord;
+  }
+  return bytes;
+}
+
+}  // namespace carobrill::ledger
--- a/packages/ledger/peer_sync.h
+++ b/packages/ledger/peer_sync.h
@@ -33,13 +33,18 @@
 };
 
 /// Answers a peer's query: partial when the lineage is the same and the backlog
-/// covers the offset, otherwise full.
+/// covers the offset, otherwise full. Empty when the peer is ahead.
 template <records::Foldable Fold>
 PeerState ServePeer(const Replica<Fold>& replica,
                     const Backlog& backlog,
                     const PeerQuery& query) {
   PeerState answer;
   answer.lineage = replica.Lineage();
+  const bool ahead = query.lineage == replica.Lineage() &&
+                     query.next_offset >= replica.NextOffset();
+  if (ahead) {
+    return answer;
+  }
   if (backlog.Covers(query.lineage, query.next_offset)) {
     answer.records = backlog.From(query.next_offset);
     return answer;
--- a/packages/ledger/recovery.h
+++ b/packages/ledger/recovery.h
@@ -3,9 +3,11 @@
 
 #include <string>
 
+#include "packages/core/ids.h"
 #include "packages/core/name_table.h"
 #include "packages/core/result.h"
 #include "packages/core/state_chart.h"
+#include "packages/core/time.h"
 #include "packages/records/records.pb.h"
 
 namespace carobrill::ledger {
--- a/packages/ledger/snapshot_writer.h
+++ b/packages/ledger/snapshot_writer.h
@@ -50,6 +50,7 @@
   std::size_t next = 0;
   std::uint32_t attempts = 0;
   bool call_open = false;
+  bool discard_answer = false;
   Instant send_at;
 };
 
