Add the log client and the fake log service

An answer other than 200, 410 or 503 is kMalformed and not kUnavailable, because it does not tell whether the append took effect. Records of an answer must follow each other from the offset asked for: a gap would be folded as if nothing were missing.

A lost answer leaves the connection open without a response. Closing it was ruled out, since the client would then see the loss at once and the deadline of the call would never be exercised.

--- /dev/null
+++ b/packages/platform/log_client.cc
@@ -0,0 +1,208 @@
+#include "packages/platform/log_client.h"
+
+#include <glib.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace carobrill::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusGone = 410;
+constexpr int kStatusUnavailable = 503;
+
+std::string EncodeBase64(const std::string& data) {
+  const std::unique_ptr<gchar, decltype(&g_free)> text(
+      g_base64_encode(reinterpret_cast<const guchar*>(data.data()),
+                      data.size()),
+      g_free);
+  return text.get();
+}
+
+// g_base64_decode skips foreign characters, so a damaged text is found by its
+// length only: a whole one has four characters for each three bytes.
+std::optional<std::string> DecodeBase64(const std::string& text) {
+  constexpr std::size_t kCharacters = 4;
+  constexpr std::size_t kBytes = 3;
+  if (text.empty()) {
+    return std::string();
+  }
+  gsize size = 0;
+  const std::unique_ptr<guchar, decltype(&g_free)> data(
+      g_base64_decode(text.c_str(), &size), g_free);
+  if (text.size() % kCharacters != 0 ||
+      (size + kBytes - 1) / kBytes * kCharacters != text.size()) {
+    return std::nullopt;
+  }
+  return std::string(reinterpret_cast<const char*>(data.get()), size);
+}
+
+// 503 is the service's own refusal; any other status does not tell whether
+// the call took effect.
+StoreFailure FailureOf(const HttpReply& reply) {
+  switch (reply.failure) {
+    case HttpFailure::kNone:
+      break;
+    case HttpFailure::kInvalidUrl:
+      return StoreFailure::kUnavailable;
+    case HttpFailure::kUnreachable:
+    case HttpFailure::kTimeout:
+    case HttpFailure::kTruncated:
+      return StoreFailure::kNoAnswer;
+  }
+  if (reply.status == kStatusUnavailable) {
+    return StoreFailure::kUnavailable;
+  }
+  return reply.status == kStatusOk ? StoreFailure::kNone
+                                   : StoreFailure::kMalformed;
+}
+
+bool HasNumber(const Json& json, const char* name) {
+  return json.contains(name) && json[name].is_number_integer() &&
+         json[name].get<std::int64_t>() >= 0;
+}
+
+bool HasText(const Json& json, const char* name) {
+  return json.contains(name) && json[name].is_string();
+}
+
+Json ParseBody(const std::string& body) {
+  return Json::parse(body, nullptr, /*allow_exceptions=*/false);
+}
+
+AppendReply ParseAppend(const HttpReply& reply) {
+  AppendReply result;
+  result.failure = FailureOf(reply);
+  if (result.failure != StoreFailure::kNone) {
+    return result;
+  }
+  const Json json = ParseBody(reply.body);
+  if (!json.is_object() || !HasText(json, "lineage") ||
+      !HasNumber(json, "first_offset")) {
+    result.failure = StoreFailure::kMalformed;
+    return result;
+  }
+  result.lineage = json["lineage"].get<std::string>();
+  result.first_offset = json["first_offset"].get<Offset>();
+  return result;
+}
+
+std::optional<StoreRecord> ParseRecord(const Json& json) {
+  if (!json.is_object() || !HasNumber(json, "offset") ||
+      !HasNumber(json, "appended_at_ms") || !HasText(json, "data")) {
+    return std::nullopt;
+  }
+  auto data = DecodeBase64(json["data"].get_ref<const std::string&>());
+  if (!data.has_value()) {
+    return std::nullopt;
+  }
+  return StoreRecord{json["offset"].get<Offset>(),
+                     Instant{json["appended_at_ms"].get<std::int64_t>()},
+                     std::move(*data)};
+}
+
+// Records must follow each other from the offset that was asked for on: a gap
+// inside an answer would be folded as if nothing were missing.
+bool ParseRecords(const Json& json, Offset from, ReadReply& reply) {
+  if (!json.is_array()) {
+    return false;
+  }
+  for (const auto& entry : json) {
+    auto record = ParseRecord(entry);
+    if (!record.has_value() || record->offset != from + reply.records.size()) {
+      return false;
+    }
+    reply.records.push_back(std::move(*record));
+  }
+  return true;
+}
+
+ReadReply Failed(StoreFailure failure) {
+  ReadReply reply;
+  reply.failure = failure;
+  return reply;
+}
+
+ReadReply ParseExpired(const Json& json) {
+  if (!json.is_object() || !HasNumber(json, "oldest_offset")) {
+    return Failed(StoreFailure::kMalformed);
+  }
+  ReadReply reply = Failed(StoreFailure::kExpired);
+  reply.oldest_offset = json["oldest_offset"].get<Offset>();
+  if (HasText(json, "lineage")) {
+    reply.lineage = json["lineage"].get<std::string>();
+  }
+  return reply;
+}
+
+ReadReply ParseRead(const HttpReply& http, const ReadQuery& query) {
+  if (http.failure == HttpFailure::kNone && http.status == kStatusGone) {
+    return ParseExpired(ParseBody(http.body));
+  }
+  const StoreFailure failure = FailureOf(http);
+  if (failure != StoreFailure::kNone) {
+    return Failed(failure);
+  }
+  const Json json = ParseBody(http.body);
+  ReadReply reply;
+  if (!json.is_object() || !HasText(json, "lineage") ||
+      !HasNumber(json, "oldest_offset") || !HasNumber(json, "next_offset") ||
+      !json.contains("records") ||
+      !ParseRecords(json["records"], query.from, reply)) {
+    return Failed(StoreFailure::kMalformed);
+  }
+  reply.lineage = json["lineage"].get<std::string>();
+  reply.oldest_offset = json["oldest_offset"].get<Offset>();
+  reply.next_offset = json["next_offset"].get<Offset>();
+  return reply;
+}
+
+}  // namespace
+
+LogClient::LogClient(HttpClient& client, std::string url)
+    : client(client), url(std::move(url)) {}
+
+void LogClient::Append(const std::string& stream,
+                       const std::vector<std::string>& records,
+                       Instant deadline,
+                       AppendCallback callback) {
+  Json body;
+  body["records"] = Json::array();
+  for (const auto& record : records) {
+    body["records"].push_back(EncodeBase64(record));
+  }
+  HttpCall call;
+  call.method = "POST";
+  call.url = this->UrlOf(stream);
+  call.body = body.dump();
+  call.deadline = deadline;
+  this->client.Send(std::move(call),
+                    [callback = std::move(callback)](const HttpReply& reply) {
+                      callback(ParseAppend(reply));
+                    });
+}
+
+void LogClient::Read(const ReadQuery& query,
+                     Instant deadline,
+                     ReadCallback callback) {
+  HttpCall call;
+  call.url = this->UrlOf(query.stream) + "?from=" + std::to_string(query.from) +
+             "&max=" + std::to_string(query.max) +
+             "&wait_ms=" + std::to_string(query.wait_ms);
+  call.deadline = deadline;
+  this->client.Send(std::move(call), [query, callback = std::move(callback)](
+                                         const HttpReply& reply) {
+    callback(ParseRead(reply, query));
+  });
+}
+
+std::string LogClient::UrlOf(const std::string& stream) const {
+  return this->url + "/v1/streams/" + stream + "/records";
+}
+
+}  // namespace carobrill::platform
--- /dev/null
+++ b/packages/testing/fake_log.h
@@ -0,0 +1,69 @@
+#ifndef PACKAGES_TESTING_FAKE_LOG_H_
+#define PACKAGES_TESTING_FAKE_LOG_H_
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "packages/core/task.h"
+#include "packages/platform/http_server.h"
+#include "packages/testing/log_store.h"
+
+namespace carobrill::testing {
+
+/// The log service over HTTP, with faults that `POST /control` switches:
+///   {"outage": bool, "delay_ms": N, "lose_answers": N or bool,
+///    "expire_before": {"stream": offset}, "new_lineage": "empty" or "keep"}
+/// `GET /stats` shows {"appends", "bytes", "lineage"}.
+class FakeLog {
+ public:
+  /// `task` must outlive the service.
+  explicit FakeLog(Task& task);
+
+  ~FakeLog();
+
+  FakeLog(const FakeLog&) = delete;
+  FakeLog& operator=(const FakeLog&) = delete;
+
+  /// Listens on an IP address; port 0 picks a free one. Returns the port.
+  Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
+
+ private:
+  struct WaitingRead {
+    ReadQuery query;
+    Instant until;
+    platform::HttpResponder respond;
+  };
+
+  void Handle(const platform::HttpRequest& request,
+              platform::HttpResponder respond);
+  void HandleStream(const platform::HttpRequest& request,
+                    const platform::HttpResponder& respond);
+  void Append(const std::string& stream,
+              const platform::HttpRequest& request,
+              const platform::HttpResponder& respond);
+  bool LosesAnswer();
+  void AnswerOrWait(WaitingRead read);
+  void AnswerWaiting();
+  platform::HttpResponse Control(const std::string& body);
+  void Switch(const nlohmann::json& json);
+  platform::HttpResponse Stats() const;
+  void After(std::int64_t delay_ms, Task::Message message);
+
+  Task& task;
+  LogStore store;
+  std::vector<WaitingRead> waiting;
+  std::vector<platform::HttpResponder> never_answered;
+  bool outage = false;
+  std::int64_t delay_ms = 0;
+  std::uint64_t answers_to_lose = 0;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
+  std::optional<platform::HttpServer> server;
+};
+
+}  // namespace carobrill::testing
+
+#endif  // PACKAGES_TESTING_FAKE_LOG_H_
