--- /dev/null
+++ b/packages/requests/claim_table.h
@@ -0,0 +1,143 @@
+#ifndef PACKAGES_REQUESTS_CLAIM_TABLE_H_
+#define PACKAGES_REQUESTS_CLAIM_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "packages/core/ids.h"
+#include "packages/core/name_table.h"
+#include "packages/core/result.h"
+#include "packages/core/state_chart.h"
+#include "packages/core/time.h"
+#include "packages/records/records.pb.h"
+#include "packages/records/verdict.h"
+#include "packages/requests/request_types.h"
+
+namespace carobrill::requests {
+
+/// State of a claim (charts/claim.json).
+enum class ClaimState { kOpen, kCompleted, kNotRun, kUnknown };
+
+constexpr auto NamesOf(ClaimState) {
+  return MakeNameTable<ClaimState>({{ClaimState::kOpen, "open"},
+                                    {ClaimState::kCompleted, "completed"},
+                                    {ClaimState::kNotRun, "not_run"},
+                                    {ClaimState::kUnknown, "unknown"}});
+}
+
+/// What happens to a claim.
+enum class ClaimEvent { kClaim, kComplete, kNotRun, kLose };
+
+constexpr auto NamesOf(ClaimEvent) {
+  return MakeNameTable<ClaimEvent>({{ClaimEvent::kClaim, "claim"},
+                                    {ClaimEvent::kComplete, "complete"},
+                                    {ClaimEvent::kNotRun, "not_run"},
+                                    {ClaimEvent::kLose, "lose"}});
+}
+
+using ClaimChart = StateChart<ClaimState, ClaimEvent>;
+
+/// One claim of a non-idempotent request.
+struct Claim {
+  ClaimState state = ClaimState::kOpen;
+  /// Offset of the claim's record: its fence.
+  Offset offset = 0;
+  ServiceId service;
+  std::string payload_digest;
+  /// The entry that may send it.
+  InstanceId entry;
+  Incarnation entry_incarnation = 0;
+  /// The endpoint and agent that may run it.
+  EndpointId endpoint;
+  InstanceId agent;
+  Incarnation agent_incarnation = 0;
+  std::uint64_t proposal = 0;
+  std::string answer;
+  bool answer_omitted = false;
+  /// Log time after which the claim leaves the state.
+  Instant expires_at;
+
+  bool operator==(const Claim&) const = default;
+};
+
+/// Limits of the claim table. All replicas must use the same values.
+struct ClaimTableSettings {
+  std::int64_t settled_retention_ms = 3'600'000;
+  std::int64_t open_retention_ms = 24LL * 3'600'000;
+  /// Estimated memory of all claims; new ones are rejected above it.
+  std::size_t memory_limit_bytes = 64U << 20U;
+  /// Part of the memory that one account may use.
+  std::uint32_t account_percent = 50;
+  /// Longer answers are recorded as omitted.
+  std::size_t answer_limit_bytes = 16U << 10U;
+  std::size_t key_limit_bytes = 256;
+};
+
+/// Claims of non-idempotent requests and their outcomes: a component of the
+/// fold (records::Foldable).
+class ClaimTable {
+ public:
+  explicit ClaimTable(ClaimChart chart,
+                      const ClaimTableSettings& settings = {});
+
+  /// Reads `directory`/claim.json.
+  static Result<ClaimTable> Create(const std::string& directory,
+                                   const ClaimTableSettings& settings = {});
+
+  /// Applies a RequestClaimed or ClaimSettled and ignores other records.
+  records::Verdict Apply(const records::Record& record,
+                         Offset offset,
+                         Instant appended_at);
+
+  /// Writes the section `claims`.
+  void Save(records::Snapshot& snapshot) const;
+
+  /// Replaces the state; returns false and keeps it when malformed.
+  bool Load(const records::Snapshot& snapshot);
+
+  /// Stable hash of the state.
+  std::uint64_t Hash() const;
+
+  /// The claim of `key`, or null. Valid until the next Apply or Load.
+  const Claim* Find(const ClaimKey& key) const;
+
+  /// Keys of all open claims.
+  const std::set<ClaimKey>& OpenClaims() const { return this->open; }
+
+  /// Estimated memory of all claims.
+  std::size_t MemoryBytes() const { return this->memory_bytes; }
+
+  std::size_t Size() const { return this->claims.size(); }
+
+  const ClaimTableSettings& Settings() const { return this->settings; }
+
+ private:
+  records::Verdict ApplyClaimed(const records::RequestClaimed& record,
+                                Offset offset,
+                                Instant appended_at);
+  records::Verdict ApplySettled(const records::ClaimSettled& record,
+                                Instant appended_at);
+  bool HasRoom(const ClaimKey& key, const Claim& claim) const;
+  void Insert(const ClaimKey& key, Claim claim);
+  void Remove(const ClaimKey& key);
+  void RemoveExpired(Instant log_time);
+
+  ClaimChart chart;
+  ClaimTableSettings settings;
+  std::map<ClaimKey, Claim> claims;
+  std::set<ClaimKey> open;
+  std::set<std::pair<Instant, ClaimKey>> expiry;
+  std::map<AccountId, std::size_t> account_bytes;
+  std::size_t memory_bytes = 0;
+  /// Highest append time seen; log times may step back.
+  Instant log_time;
+};
+
+}  // namespace carobrill::requests
+
+#endif  // PACKAGES_REQUESTS_CLAIM_TABLE_H_
--- /dev/null
+++ b/packages/requests/request_types.h
@@ -0,0 +1,117 @@
+#ifndef PACKAGES_REQUESTS_REQUEST_TYPES_H_
+#define PACKAGES_REQUESTS_REQUEST_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "packages/core/ids.h"
+#include "packages/core/name_table.h"
+#include "packages/core/time.h"
+
+namespace carobrill::requests {
+
+/// Urgency of a request.
+enum class RequestClass { kUrgent, kNormal, kBatch };
+
+constexpr auto NamesOf(RequestClass) {
+  return MakeNameTable<RequestClass>({{RequestClass::kUrgent, "urgent"},
+                                      {RequestClass::kNormal, "normal"},
+                                      {RequestClass::kBatch, "batch"}});
+}
+
+/// Whether a request ran at an endpoint.
+enum class Ran { kNo, kYes, kUnknown };
+
+constexpr auto NamesOf(Ran) {
+  return MakeNameTable<Ran>(
+      {{Ran::kNo, "no"}, {Ran::kYes, "yes"}, {Ran::kUnknown, "unknown"}});
+}
+
+/// Why a request has no answer of the endpoint.
+enum class RequestError {
+  kNone,
+  kUnknownAccount,
+  kKeyRequired,
+  kKeyReused,
+  kQueueFull,
+  /// Shed: at the measured service rate its deadline cannot be met.
+  kDeadlineUnreachable,
+  kDeadlinePassed,
+  kNoEndpoint,
+  kEndpointFailed,
+  /// The reply was cut, altered or belonged to another attempt.
+  kAnswerTruncated,
+  /// It ran, but its answer was too large to be kept for a repeat.
+  kAnswerNotKept,
+  kOutcomeUnknown,
+  kLogUnavailable,
+  kClaimTableFull,
+  kDraining,
+};
+
+constexpr auto NamesOf(RequestError) {
+  return MakeNameTable<RequestError>({
+      {RequestError::kNone, "none"},
+      {RequestError::kUnknownAccount, "unknown_account"},
+      {RequestError::kKeyRequired, "idempotency_key_required"},
+      {RequestError::kKeyReused, "idempotency_key_reused"},
+      {RequestError::kQueueFull, "queue_full"},
+      {RequestError::kDeadlineUnreachable, "deadline_unreachable"},
+      {RequestError::kDeadlinePassed, "deadline_passed"},
+      {RequestError::kNoEndpoint, "no_endpoint"},
+      {RequestError::kEndpointFailed, "endpoint_failed"},
+      {RequestError::kAnswerTruncated, "answer_truncated"},
+      {RequestError::kAnswerNotKept, "answer_not_kept"},
+      {RequestError::kOutcomeUnknown, "outcome_unknown"},
+      {RequestError::kLogUnavailable, "log_unavailable"},
+      {RequestError::kClaimTableFull, "claim_table_full"},
+      {RequestError::kDraining, "draining"},
+  });
+}
+
+/// Names one call of a caller; chosen by the owner of the dispatcher and never
+/// used twice.
+using CallId = std::uint64_t;
+
+/// A request as a caller made it.
+struct Request {
+  CallId call = 0;
+  AccountId account;
+  ServiceId service;
+  RequestClass request_class = RequestClass::kNormal;
+  /// Required when not idempotent.
+  std::string idempotency_key;
+  bool idempotent = false;
+  /// The caller may have sent this key before. While the log is unavailable
+  /// such a request is answered "unknown", since another entry may have run it.
+  bool repeat = false;
+  Instant deadline;
+  std::string kind;
+  /// As declared by the caller, often wrong; 0 when not given.
+  std::int64_t expected_run_ms = 0;
+  std::string payload;
+  bool hold_during_outage = false;
+};
+
+/// What a caller is told. `ran` is about this call: `kNo` means that it has not
+/// run and never will.
+struct Answer {
+  Ran ran = Ran::kNo;
+  RequestError error = RequestError::kNone;
+  std::string answer;
+
+  bool operator==(const Answer&) const = default;
+};
+
+/// Names a non-idempotent request; keys of different accounts do not meet.
+struct ClaimKey {
+  AccountId account;
+  std::string key;
+
+  auto operator<=>(const ClaimKey&) const = default;
+};
+
+}  // namespace carobrill::requests
+
+#endif  // PACKAGES_REQUESTS_REQUEST_TYPES_H_
