--- a/packages/membership/directory.h
+++ b/packages/membership/directory.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -129,8 +128,10 @@
   /// Takes in a digest of another entry.
   DigestOutcome OnDigest(const rpc::DigestRequest& digest, Instant now);
 
-  /// Takes in the reply to a digest of this entry.
-  Reception OnDigestReply(const rpc::DigestReply& reply, Instant now);
+  /// Takes in the reply to the last digest built for `peer_address`.
+  Reception OnDigestReply(const std::string& peer_address,
+                          const rpc::DigestReply& reply,
+                          Instant now);
 
   /// Builds the next digest for the entry at `peer_address` ("ip:port"): what
   /// changed since the last one that it confirmed, within the traffic limit.
@@ -182,24 +183,29 @@
 
  private:
   struct AgentRecord {
+    /// As last announced, without what only the receiver needs.
     rpc::AnnounceRequest announcement;
     Incarnation incarnation = 0;
     /// True while the agent announces itself to this entry.
     bool direct = false;
+    /// Deadlines of the direct announcements.
     Instant suspect_at;
     Instant dead_at;
     Instant reported_at;
     /// Entries that hear the agent; it is as live as the liveliest of them.
     std::set<InstanceId> heard_by;
-    /// Value of `version` at the last change to be told to peers; 0 when
-    /// nothing about the agent is to be told.
+    /// Value of `version` at the last change to be told to peers, or 0.
     std::uint64_t changed_at_version = 0;
+    /// Load that the last change told.
+    rpc::ServiceLoad told_load;
   };
 
   struct EntryRecord {
     rpc::EntryDigest digest;
     Instant suspect_at;
     Instant dead_at;
+    /// True while this entry holds all that the other one has told.
+    bool in_sync = false;
   };
 
   /// What one peer was told.
@@ -211,25 +217,39 @@
     std::uint64_t sequence = 0;
   };
 
-  Reception CheckReceiver(const rpc::Peers& peers) const;
+  Reception CheckPeers(const rpc::Peers& peers) const;
+  rpc::AnnounceReply ReplyTo(const rpc::AnnounceRequest& announcement) const;
+  AgentRecord* RecordFor(const InstanceId& agent, Incarnation incarnation);
+  void HearAgent(AgentRecord& record,
+                 const rpc::AnnounceRequest& announcement,
+                 Instant now);
   void Touch(const InstanceId& agent, AgentRecord& record);
-  void ApplyDigestOfAgent(const InstanceId& from,
-                          const rpc::AgentDigest& digest,
-                          Instant now);
+  void ApplyAgentDigest(const InstanceId& from,
+                        const rpc::AgentDigest& digest,
+                        Instant now);
+  bool ApplyAgents(const rpc::DigestRequest& digest, Instant now);
   bool HearEntry(const rpc::EntryDigest& entry, Instant now);
+  void ForgetVouching(const InstanceId& entry, Instant now);
+  void StopVouching(AgentRecord& record,
+                    const InstanceId& entry,
+                    Instant silent_since);
+  std::size_t AddChanges(const PeerProgress& progress,
+                         std::int64_t limit_bytes,
+                         Instant now,
+                         OutgoingDigest& digest) const;
   void MarkSilent(Instant now);
   void ForgetDead(Instant now);
-  void UpdateGrantedInterval(Instant now);
+  void UpdateGrantedInterval();
   std::int64_t SuspectAfterMs(const rpc::AnnounceRequest& announcement) const;
   bool MustLeave(const rpc::AnnounceRequest& announcement) const;
   Instant SuspectAt(const AgentRecord& record) const;
   Instant DeadAt(const AgentRecord& record) const;
   Liveness LivenessOf(const AgentRecord& record, Instant now) const;
-  Liveness LivenessOf(const EntryRecord& record, Instant now) const;
   ServingEndpoint EndpointOf(const AgentRecord& record, Instant now) const;
   rpc::EntryDigest SelfDigest() const;
   rpc::Peers PeersTo(const std::string& receiver,
                      Incarnation incarnation) const;
+  void Count(std::size_t message_bytes, Instant now);
 
   DirectorySettings settings;
   SelfStatus self_status;
@@ -245,6 +265,8 @@
   TokenBucket digest_tokens;
   std::int64_t granted_interval_ms;
   std::size_t heard_directly = 0;
+  /// Mean size of an announcement and its reply with framing.
+  std::int64_t announcement_bytes = 0;
 };
 
 }  // namespace carobrill::membership
