Add the request path: queue, router, claims and dispatcher

Claims name the agent that may run them, so any entry can ask it. Only the holder of an accepted claim that certainly did not run may say so to a caller that repeats a key; a caller that uses a key for the first time is told 'no' whenever its call was not sent. A claim that is accepted after its call was given up is settled as not run, since sending needs the verdict.

--- /dev/null
+++ b/packages/requests/attempt_table.cc
@@ -0,0 +1,71 @@
+#include "packages/requests/attempt_table.h"
+
+#include <utility>
+
+#include "packages/core/digest.h"
+
+namespace carobrill::requests {
+namespace {
+
+bool IsComplete(const rpc::ExecuteReply& reply) {
+  return reply.answer().size() == reply.answer_length() &&
+         reply.answer_digest() == DigestOf(reply.answer());
+}
+
+}  // namespace
+
+AttemptTable::AttemptTable(const InstanceId& self, Incarnation self_incarnation)
+    : self(self), self_incarnation(self_incarnation) {}
+
+// The incarnation is part of the id, so that a reply to an attempt of an
+// earlier process of this entry never matches one of this process.
+Attempt& AttemptTable::Add(Attempt attempt) {
+  attempt.number = this->next_number++;
+  attempt.id = AttemptId(this->self.value + "/" +
+                         std::to_string(this->self_incarnation) + "/" +
+                         std::to_string(attempt.number));
+  this->numbers.emplace(attempt.number, attempt.id);
+  return this->attempts.emplace(attempt.id, std::move(attempt)).first->second;
+}
+
+Attempt* AttemptTable::Find(const AttemptId& id) {
+  const auto found = this->attempts.find(id);
+  return found == this->attempts.end() ? nullptr : &found->second;
+}
+
+Attempt* AttemptTable::FindByNumber(std::uint64_t number) {
+  const auto found = this->numbers.find(number);
+  return found == this->numbers.end() ? nullptr : this->Find(found->second);
+}
+
+ReplyMatch AttemptTable::Match(const AttemptId& called,
+                               const rpc::ExecuteReply& reply) const {
+  const auto found = this->attempts.find(called);
+  if (found == this->attempts.end()) {
+    return ReplyMatch::kLate;
+  }
+  const Attempt& attempt = found->second;
+  const rpc::Peers& peers = reply.peers();
+  if (reply.attempt() != called.value ||
+      peers.sender() != attempt.agent.value ||
+      peers.sender_incarnation() != attempt.agent_incarnation ||
+      peers.receiver() != this->self.value ||
+      peers.receiver_incarnation() != this->self_incarnation) {
+    return ReplyMatch::kMisrouted;
+  }
+  if (reply.refusal() == rpc::REFUSAL_NONE && reply.ran() == rpc::RAN_YES &&
+      !IsComplete(reply)) {
+    return ReplyMatch::kTruncated;
+  }
+  return ReplyMatch::kMatched;
+}
+
+void AttemptTable::Remove(const AttemptId& id) {
+  const auto found = this->attempts.find(id);
+  if (found != this->attempts.end()) {
+    this->numbers.erase(found->second.number);
+    this->attempts.erase(found);
+  }
+}
+
+}  // namespace carobrill::requests
--- a/packages/requests/claim_table.h
+++ b/packages/requests/claim_table.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -82,7 +83,7 @@
 /// fold (records::Foldable).
 class ClaimTable {
  public:
-  explicit ClaimTable(ClaimChart chart,
+  explicit ClaimTable(const ClaimChart& chart,
                       const ClaimTableSettings& settings = {});
 
   /// Reads `directory`/claim.json.
@@ -125,7 +126,7 @@
   bool HasRoom(const ClaimKey& key, const Claim& claim) const;
   void Insert(const ClaimKey& key, Claim claim);
   void Remove(const ClaimKey& key);
-  void RemoveExpired(Instant log_time);
+  void RemoveExpired(Instant now);
 
   ClaimChart chart;
   ClaimTableSettings settings;
@@ -134,6 +135,8 @@
   std::set<std::pair<Instant, ClaimKey>> expiry;
   std::map<AccountId, std::size_t> account_bytes;
   std::size_t memory_bytes = 0;
+  /// Sum of the hashes of all claims, kept up to date with each change.
+  std::uint64_t claims_hash = 0;
   /// Highest append time seen; log times may step back.
   Instant log_time;
 };
--- a/packages/requests/request_dispatcher.h
+++ b/packages/requests/request_dispatcher.h
@@ -127,36 +127,43 @@
 
  private:
   // Arrival.
-  std::optional<Answer> Refuse(const Request& request, Instant now) const;
+  std::optional<RequestError> RefusalOf(const Request& request,
+                                        Instant now) const;
   void Accept(Request request, Instant now);
-  bool JoinWork(const Request& request, Instant now);
-  void Admit(Work& work, Instant now);
-  void Enqueue(Work& work, Instant now);
-  bool MakeRoom(const Work& work, Instant now);
-  Caller CallerOf(const Request& request) const;
+  bool JoinWork(const Request& request, const std::string& digest);
+  Work& AddWork(Request request, std::string digest, Instant now);
+  void Admit(WorkId id, Instant now);
+  void Enqueue(WorkId id, Instant now);
+  bool MakeRoom(const Work& work);
+  bool ShedsNow(const Work& work, const QueueItem& item, Instant now) const;
 
   // Sending.
   void Pump(Instant now);
   void PumpService(const ServiceId& service, Instant now);
-  bool Launch(Work& work, const ServingEndpoint& endpoint, Instant now);
-  void Claim(Work& work, const ServingEndpoint& endpoint, Instant now);
+  bool PumpNext(const ServiceId& service,
+                const std::optional<QueueItem>& item,
+                Instant now);
+  void Launch(Work& work, const ServingEndpoint& endpoint, Instant now);
+  void ProposeClaim(Work& work, const ServingEndpoint& endpoint);
   void Send(Work& work,
             const ServingEndpoint& endpoint,
-            bool hedge,
+            bool is_hedge,
             Instant now);
-  void Hedge(std::uint64_t number, Instant now);
-  void Overrun(std::uint64_t number, Instant now);
+  void SetAttemptTimers(const Work& work, Attempt& attempt, Instant now);
+  void OnHedgeDue(std::uint64_t number, Instant now);
+  void OnOverrun(std::uint64_t number);
 
   // Replies.
-  Attempt Finish(const Attempt& attempt, Instant now);
-  void OnRefusal(const Attempt& attempt,
+  Attempt Finish(const Attempt& attempt);
+  void LearnFromFailure(const Attempt& attempt, Instant now);
+  void OnMatched(const Attempt& attempt,
                  const rpc::ExecuteReply& reply,
                  Instant now);
   void OnAnswer(const Attempt& attempt,
                 const rpc::ExecuteReply& reply,
                 Instant now);
+  void OnNotRun(const Attempt& attempt, Instant now);
   void OnLost(const Attempt& attempt, RequestError error, Ran ran, Instant now);
-  void RetryOrFail(Work& work, RequestError error, Instant now);
 
   // Claims.
   void OnClaimApplied(const records::RequestClaimed& claimed,
@@ -164,31 +171,32 @@
                       records::Verdict verdict,
                       Instant now);
   void OnOwnClaimAccepted(Work& work, Offset offset, Instant now);
-  void Reconsider(Work& work, Instant now);
-  void ReconsiderAll(Instant now);
-  void Requeue(Work& work, Instant now);
-  void Watch(Work& work, Instant now);
-  void Settle(const ClaimKey& key,
-              Offset offset,
-              const Outcome& outcome,
-              Instant now);
+  void OnOwnClaimRejected(Work& work, records::Verdict verdict, Instant now);
+  void OnOwnClaimNotRun(Work& work, Instant now);
+  void OnClaimResolved(const ResolvedClaim& resolved, Instant now);
+  void Reconsider(WorkId id, Instant now);
+  void ReconsiderOpen(Work& work, const Claim& claim, Instant now);
+  void Settle(const ClaimKey& key, Offset offset, const Outcome& outcome);
   void ResolveOrphans(Instant now);
-  bool OwnerIsDead(const requests::Claim& claim) const;
+  bool OwnerIsDead(const Claim& claim) const;
+  bool IsOwn(const Claim& claim) const;
   void PollResolver(Instant now);
+  void OnLogLost();
+  void OnLogBack(Instant now);
 
   // Answers.
-  Ran NotRunFor(const Work& work, const Caller& caller) const;
-  Ran RanSoFar(const Work& work, const Caller& caller) const;
-  void AnswerAll(WorkId id, const Answer& answer);
+  Ran RanFor(const Work& work, const Caller& caller) const;
   void FailAll(WorkId id, RequestError error);
+  void AnswerAll(WorkId id, const Answer& answer);
+  void AnswerAs(WorkId id, const Claim& claim);
   void AnswerOne(const Caller& caller, const Answer& answer);
-  void OnCallDeadline(CallId call, Instant now);
-  void OnNoEndpoint(WorkId id, Instant now);
-  void DropCall(CallId call);
+  void OnCallDeadline(CallId call);
+  void OnNoEndpoint(WorkId id);
   void RemoveIfUnwanted(WorkId id);
   void RemoveWork(WorkId id);
+
   ServicePolicy PolicyOf(const ServiceId& service) const;
-  void Emit(Action action);
+  rpc::Peers PeersTo(const ServingEndpoint& endpoint) const;
   Actions TakeActions(Instant now);
 
   DispatcherSettings settings;
@@ -204,6 +212,8 @@
   ClaimResolver resolver;
   Settlements settlements;
   TimerQueue timers;
+  /// Time of the last event.
+  Instant last_now;
   std::map<InstanceId, Incarnation> alive_entries;
   bool resolves_orphans = false;
   bool log_available = false;
--- /dev/null
+++ b/packages/requests/request_queue.cc
@@ -0,0 +1,243 @@
+#include "packages/requests/request_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace carobrill::requests {
+namespace {
+
+// A class goes behind the one above it by this much waiting time: strict order
+// at a short peak, but a normal request passes urgent ones that came 2 s later.
+constexpr std::array<std::int64_t, 3> kClassDelayMs = {0, 2'000, 8'000};
+
+// Long work passes short work only after so much more waiting, so that a
+// steady stream of short work cannot starve it.
+constexpr std::int64_t kLongDelayMs = 10'000;
+
+// Unit of the share of an account, large enough to be divided by its weight.
+constexpr std::int64_t kShareUnit = 1'000;
+
+std::size_t IndexOf(RequestClass request_class) {
+  return static_cast<std::size_t>(request_class);
+}
+
+}  // namespace
+
+void RequestQueue::SetWeights(
+    const std::map<AccountId, std::uint32_t>& account_weights) {
+  this->weights = account_weights;
+}
+
+std::uint64_t RequestQueue::Push(const QueueItem& item) {
+  assert(!this->Contains(item.work));
+  const std::uint64_t sequence =
+      item.sequence == 0 ? this->next_sequence++ : item.sequence;
+  Lane& lane = this->LaneOf(item.service, item.is_long);
+  ClassLane& class_lane = lane.classes[IndexOf(item.request_class)];
+  AccountLane& account = class_lane.accounts[item.account];
+  if (account.works.empty()) {
+    account.used = std::max(account.used, class_lane.used);
+  }
+  account.works.emplace(sequence, item.work);
+  ++class_lane.size;
+  ++lane.size;
+  this->by_class[IndexOf(item.request_class)].emplace(sequence, item.work);
+  this->entries.emplace(item.work, Entry{item, sequence});
+  return sequence;
+}
+
+void RequestQueue::Remove(WorkId work) {
+  const auto found = this->entries.find(work);
+  if (found == this->entries.end()) {
+    return;
+  }
+  const ServiceId service = found->second.item.service;
+  Lane& lane = this->LaneOf(service, found->second.item.is_long);
+  this->Erase(work);
+  if (lane.size == 0) {
+    lane.rate.OnEmpty();
+  }
+  this->ForgetUnserved(service);
+}
+
+// Callers choose the names of services, so one that was never served must not
+// stay in memory.
+void RequestQueue::ForgetUnserved(const ServiceId& service) {
+  const auto found = this->services.find(service);
+  const Lanes& lanes = found->second;
+  if (lanes.short_lane.size + lanes.long_lane.size == 0 &&
+      !lanes.short_lane.rate.Known() && !lanes.long_lane.rate.Known()) {
+    this->services.erase(found);
+  }
+}
+
+std::optional<QueueItem> RequestQueue::Next(const ServiceId& service,
+                                            bool is_long) const {
+  const Lane* lane = this->FindLane(service, is_long);
+  if (lane == nullptr || lane->size == 0) {
+    return std::nullopt;
+  }
+  const ClassLane* best = nullptr;
+  std::int64_t best_rank = 0;
+  for (const ClassLane& class_lane : lane->classes) {
+    const auto oldest = this->OldestOf(class_lane);
+    if (oldest && (best == nullptr || this->RankOf(*oldest) < best_rank)) {
+      best = &class_lane;
+      best_rank = this->RankOf(*oldest);
+    }
+  }
+  return this->NextOfClass(*best);
+}
+
+std::optional<QueueItem> RequestQueue::NextOf(const ServiceId& service) const {
+  const auto short_item = this->Next(service, false);
+  const auto long_item = this->Next(service, true);
+  if (!short_item || !long_item) {
+    return short_item ? short_item : long_item;
+  }
+  return this->RankOf(*long_item) < this->RankOf(*short_item) ? long_item
+                                                              : short_item;
+}
+
+void RequestQueue::Pop(const QueueItem& item, Instant now) {
+  Lane& lane = this->LaneOf(item.service, item.is_long);
+  ClassLane& class_lane = lane.classes[IndexOf(item.request_class)];
+  AccountLane& account = class_lane.accounts[item.account];
+  class_lane.used = std::max(class_lane.used, account.used);
+  // Long requests use more of a slot's time, so they use more of the share.
+  account.used += std::max<std::int64_t>(1, item.predicted_ms) * kShareUnit /
+                  this->WeightOf(item.account);
+  this->Erase(item.work);
+  lane.rate.OnDeparture(now, lane.size > 0);
+}
+
+std::optional<WorkId> RequestQueue::NewestBelow(
+    RequestClass request_class) const {
+  for (std::size_t i = kClasses - 1; i > IndexOf(request_class); --i) {
+    if (!this->by_class[i].empty()) {
+      return this->by_class[i].rbegin()->second;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::int64_t> RequestQueue::WaitMs(const QueueItem& item,
+                                                 Instant now) const {
+  const Lane* lane = this->FindLane(item.service, item.is_long);
+  if (lane == nullptr || lane->size == 0) {
+    return 0;
+  }
+  return lane->rate.TimeForMs(this->CountAhead(*lane, item) + 1, now);
+}
+
+std::vector<ServiceId> RequestQueue::Services() const {
+  std::vector<ServiceId> names;
+  for (const auto& [service, lanes] : this->services) {
+    if (lanes.short_lane.size + lanes.long_lane.size > 0) {
+      names.push_back(service);
+    }
+  }
+  return names;
+}
+
+std::int64_t RequestQueue::WeightOf(const AccountId& account) const {
+  const auto found = this->weights.find(account);
+  return found == this->weights.end()
+             ? 1
+             : std::max<std::int64_t>(1, found->second);
+}
+
+const RequestQueue::Lane* RequestQueue::FindLane(const ServiceId& service,
+                                                 bool is_long) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return nullptr;
+  }
+  return is_long ? &found->second.long_lane : &found->second.short_lane;
+}
+
+RequestQueue::Lane& RequestQueue::LaneOf(const ServiceId& service,
+                                         bool is_long) {
+  Lanes& lanes = this->services[service];
+  return is_long ? lanes.long_lane : lanes.short_lane;
+}
+
+std::int64_t RequestQueue::RankOf(const QueueItem& item) const {
+  return item.enqueued_at.ms + kClassDelayMs[IndexOf(item.request_class)] +
+         (item.is_long ? kLongDelayMs : 0);
+}
+
+std::optional<QueueItem> RequestQueue::OldestOf(const ClassLane& lane) const {
+  std::optional<QueueItem> oldest;
+  for (const auto& [account, account_lane] : lane.accounts) {
+    if (account_lane.works.empty()) {
+      continue;
+    }
+    const QueueItem& item =
+        this->entries.at(account_lane.works.begin()->second).item;
+    if (!oldest || item.enqueued_at < oldest->enqueued_at) {
+      oldest = item;
+    }
+  }
+  return oldest;
+}
+
+std::optional<QueueItem> RequestQueue::NextOfClass(
+    const ClassLane& lane) const {
+  const AccountLane* best = nullptr;
+  for (const auto& [account, account_lane] : lane.accounts) {
+    if (!account_lane.works.empty() &&
+        (best == nullptr || account_lane.used < best->used)) {
+      best = &account_lane;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return this->entries.at(best->works.begin()->second).item;
+}
+
+// Within its class an account waits for its own work times its share of the
+// turns, but for no more than all work there.
+std::size_t RequestQueue::CountAhead(const Lane& lane,
+                                     const QueueItem& item) const {
+  const std::size_t index = IndexOf(item.request_class);
+  std::size_t higher = 0;
+  for (std::size_t i = 0; i < index; ++i) {
+    higher += lane.classes[i].size;
+  }
+  const ClassLane& class_lane = lane.classes[index];
+  std::int64_t own = 0;
+  std::int64_t total_weight = 0;
+  for (const auto& [account, account_lane] : class_lane.accounts) {
+    if (account == item.account) {
+      own = static_cast<std::int64_t>(account_lane.works.size());
+    } else if (!account_lane.works.empty()) {
+      total_weight += this->WeightOf(account);
+    }
+  }
+  const std::int64_t weight = this->WeightOf(item.account);
+  const std::int64_t by_share = (own + 1) * (total_weight + weight) / weight;
+  return higher + std::min(class_lane.size, static_cast<std::size_t>(by_share));
+}
+
+void RequestQueue::Erase(WorkId work) {
+  const auto found = this->entries.find(work);
+  const Entry& entry = found->second;
+  const std::size_t index = IndexOf(entry.item.request_class);
+  Lane& lane = this->LaneOf(entry.item.service, entry.item.is_long);
+  ClassLane& class_lane = lane.classes[index];
+  AccountLane& account = class_lane.accounts[entry.item.account];
+  account.works.erase(entry.sequence);
+  --class_lane.size;
+  --lane.size;
+  if (class_lane.size == 0) {
+    // With nobody waiting, past use no longer matters.
+    class_lane.accounts.clear();
+    class_lane.used = 0;
+  }
+  this->by_class[index].erase(entry.sequence);
+  this->entries.erase(found);
+}
+
+}  // namespace carobrill::requests
--- /dev/null
+++ b/packages/requests/run_time_model.cc
@@ -0,0 +1,111 @@
+#include "packages/requests/run_time_model.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace carobrill::requests {
+namespace {
+
+constexpr std::uint32_t kFullWeight = 256;
+
+// Callers choose the names of kinds, so their number has to be limited.
+constexpr std::size_t kMaxKinds = 2'048;
+
+// Few samples suffice to prefer them to a declared time, which is wrong more
+// often than not.
+constexpr std::uint32_t kSamplesToPredict = 3;
+
+constexpr std::uint32_t kMedian = 50;
+
+}  // namespace
+
+constexpr std::array<std::int64_t, RunTimeSamples::kBuckets>
+RunTimeSamples::MakeLimits() {
+  std::array<std::int64_t, kBuckets> limits{};
+  std::int64_t limit = 1;
+  for (std::int64_t& bucket : limits) {
+    bucket = limit;
+    limit = std::max(limit + 1, limit + limit / 4);
+  }
+  return limits;
+}
+
+const std::array<std::int64_t, RunTimeSamples::kBuckets>&
+RunTimeSamples::Limits() {
+  static constexpr auto kLimits = MakeLimits();
+  return kLimits;
+}
+
+void RunTimeSamples::Add(std::int64_t run_ms) {
+  const auto& limits = Limits();
+  const auto bucket = std::lower_bound(limits.begin(), limits.end(), run_ms);
+  const auto index = std::min<std::size_t>(
+      static_cast<std::size_t>(bucket - limits.begin()), kBuckets - 1);
+  ++this->counts[index];
+  ++this->total;
+  if (this->total < 2 * kFullWeight) {
+    return;
+  }
+  this->total = 0;
+  for (std::uint16_t& count : this->counts) {
+    count /= 2;
+    this->total += count;
+  }
+}
+
+std::int64_t RunTimeSamples::Quantile(std::uint32_t percent) const {
+  assert(this->total > 0);
+  constexpr std::uint32_t kPercent = 100;
+  const std::uint32_t wanted = std::max<std::uint32_t>(
+      1, (this->total * percent + kPercent - 1) / kPercent);
+  std::uint32_t seen = 0;
+  for (std::size_t i = 0; i < kBuckets; ++i) {
+    seen += this->counts[i];
+    if (seen >= wanted) {
+      return Limits()[i];
+    }
+  }
+  return Limits().back();
+}
+
+void RunTimeModel::Observe(const ServiceId& service,
+                           const std::string& kind,
+                           std::int64_t run_ms) {
+  const Kind name{service, kind};
+  if (!this->kinds.contains(name) && this->kinds.size() >= kMaxKinds) {
+    this->RemoveOldest();
+  }
+  Entry& entry = this->kinds[name];
+  entry.samples.Add(run_ms);
+  entry.used_at = ++this->uses;
+}
+
+std::optional<std::int64_t> RunTimeModel::Quantile(
+    const ServiceId& service,
+    const std::string& kind,
+    std::uint32_t percent,
+    std::uint32_t min_samples) const {
+  const auto found = this->kinds.find(Kind{service, kind});
+  if (found == this->kinds.end() ||
+      found->second.samples.Count() < std::max(1U, min_samples)) {
+    return std::nullopt;
+  }
+  return found->second.samples.Quantile(percent);
+}
+
+std::int64_t RunTimeModel::Predict(const ServiceId& service,
+                                   const std::string& kind,
+                                   std::int64_t declared_ms) const {
+  return this->Quantile(service, kind, kMedian, kSamplesToPredict)
+      .value_or(declared_ms);
+}
+
+void RunTimeModel::RemoveOldest() {
+  const auto oldest = std::min_element(
+      this->kinds.begin(), this->kinds.end(), [](const auto& a, const auto& b) {
+        return a.second.used_at < b.second.used_at;
+      });
+  this->kinds.erase(oldest);
+}
+
+}  // namespace carobrill::requests
--- /dev/null
+++ b/packages/requests/run_time_model.h
@@ -0,0 +1,76 @@
+#ifndef PACKAGES_REQUESTS_RUN_TIME_MODEL_H_
+#define PACKAGES_REQUESTS_RUN_TIME_MODEL_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "packages/core/ids.h"
+
+namespace carobrill::requests {
+
+/// Run times of one kind of request: counts in buckets that grow by a quarter.
+/// Old samples lose half of their weight with every 256 new ones.
+class RunTimeSamples {
+ public:
+  void Add(std::int64_t run_ms);
+
+  std::uint32_t Count() const { return this->total; }
+
+  /// The run time that `percent` of the samples do not exceed, rounded up to
+  /// the limit of its bucket. There must be samples.
+  std::int64_t Quantile(std::uint32_t percent) const;
+
+ private:
+  static constexpr std::size_t kBuckets = 72;
+
+  static constexpr std::array<std::int64_t, kBuckets> MakeLimits();
+  static const std::array<std::int64_t, kBuckets>& Limits();
+
+  std::array<std::uint16_t, kBuckets> counts{};
+  std::uint32_t total = 0;
+};
+
+/// Learned run times per service and kind. Declared times are used only until
+/// there are samples.
+class RunTimeModel {
+ public:
+  /// A request of this kind took `run_ms`, or at least that much.
+  void Observe(const ServiceId& service,
+               const std::string& kind,
+               std::int64_t run_ms);
+
+  /// Quantile of the kind, if there are at least `min_samples`.
+  std::optional<std::int64_t> Quantile(const ServiceId& service,
+                                       const std::string& kind,
+                                       std::uint32_t percent,
+                                       std::uint32_t min_samples) const;
+
+  /// Expected run time: the median once there are samples of the kind, else
+  /// `declared_ms` (0 when unknown).
+  std::int64_t Predict(const ServiceId& service,
+                       const std::string& kind,
+                       std::int64_t declared_ms) const;
+
+  std::size_t Size() const { return this->kinds.size(); }
+
+ private:
+  using Kind = std::pair<ServiceId, std::string>;
+  struct Entry {
+    RunTimeSamples samples;
+    std::uint64_t used_at = 0;
+  };
+
+  void RemoveOldest();
+
+  std::map<Kind, Entry> kinds;
+  std::uint64_t uses = 0;
+};
+
+}  // namespace carobrill::requests
+
+#endif  // PACKAGES_REQUESTS_RUN_TIME_MODEL_H_
