--- /dev/null
+++ b/packages/rpc/agent_server.h
@@ -0,0 +1,57 @@
+#ifndef PACKAGES_RPC_AGENT_SERVER_H_
+#define PACKAGES_RPC_AGENT_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "packages/core/result.h"
+#include "packages/core/task.h"
+#include "packages/rpc/control.pb.h"
+#include "packages/rpc/rpc_types.h"
+
+namespace carobrill::rpc {
+
+/// What an agent does with each call; every function runs on the owner's task.
+struct AgentHandlers {
+  std::function<void(ExecuteRequest, Responder<ExecuteReply>)> execute;
+  std::function<void(FenceClaimRequest, Responder<FenceClaimReply>)>
+      fence_claim;
+  std::function<void(PrepareMemberRequest, Responder<MemberReply>)>
+      prepare_member;
+  std::function<void(StartMemberRequest, Responder<MemberReply>)> start_member;
+  std::function<void(StopMemberRequest, Responder<MemberReply>)> stop_member;
+  std::function<void(MemberAliveRequest, Responder<MemberAliveReply>)>
+      member_alive;
+  std::function<void(DrainRequest, Responder<DrainReply>)> drain;
+};
+
+/// Serves the gRPC service Agent. A call without a handler is UNIMPLEMENTED.
+class AgentServer {
+ public:
+  /// `owner` must outlive the server.
+  AgentServer(Task& owner, AgentHandlers handlers);
+
+  /// Ends the calls in flight. Handlers do not run any more.
+  ~AgentServer();
+
+  AgentServer(const AgentServer&) = delete;
+  AgentServer& operator=(const AgentServer&) = delete;
+
+  /// Listens on an IP address; port 0 picks a free one. Returns the port.
+  /// Fails with RpcListenError.
+  Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
+
+  /// Refuses new calls and lets those in flight finish until `deadline` (boot
+  /// clock), then cancels them. `done` runs on the owner's task.
+  void Shutdown(Instant deadline, std::function<void()> done);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace carobrill::rpc
+
+#endif  // PACKAGES_RPC_AGENT_SERVER_H_
--- /dev/null
+++ b/packages/rpc/channel_pool.h
@@ -0,0 +1,45 @@
+#ifndef PACKAGES_RPC_CHANNEL_POOL_H_
+#define PACKAGES_RPC_CHANNEL_POOL_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "packages/core/time.h"
+
+namespace grpc {
+class Channel;
+}  // namespace grpc
+
+namespace carobrill::rpc {
+
+/// One channel per peer address ("ip:port"). Safe from any thread. Channels
+/// that have not been used for ten minutes are closed.
+class ChannelPool {
+ public:
+  ChannelPool() = default;
+  ChannelPool(const ChannelPool&) = delete;
+  ChannelPool& operator=(const ChannelPool&) = delete;
+
+  /// The channel to `address`; connects with a backoff of at most 1 s.
+  std::shared_ptr<grpc::Channel> Get(const std::string& address);
+
+  /// Closes the channel to `address` once its calls have ended.
+  void Forget(const std::string& address);
+
+ private:
+  struct Entry {
+    std::shared_ptr<grpc::Channel> channel;
+    Instant close_at;
+  };
+
+  void CloseUnused(Instant now);
+
+  std::mutex mutex;
+  std::map<std::string, Entry> entries;
+};
+
+}  // namespace carobrill::rpc
+
+#endif  // PACKAGES_RPC_CHANNEL_POOL_H_
--- /dev/null
+++ b/packages/rpc/entry_server.h
@@ -0,0 +1,53 @@
+#ifndef PACKAGES_RPC_ENTRY_SERVER_H_
+#define PACKAGES_RPC_ENTRY_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "packages/core/result.h"
+#include "packages/core/task.h"
+#include "packages/rpc/control.pb.h"
+#include "packages/rpc/rpc_types.h"
+#include "packages/rpc/state_stream.h"
+
+namespace carobrill::rpc {
+
+/// What an entry does with each call; every function runs on the owner's task.
+struct EntryHandlers {
+  std::function<void(AnnounceRequest, Responder<AnnounceReply>)> announce;
+  std::function<void(ReportGangRequest, Responder<ReportGangReply>)>
+      report_gang;
+  std::function<void(DigestRequest, Responder<DigestReply>)> exchange_digest;
+  std::function<void(FetchStateRequest, StateStream)> fetch_state;
+};
+
+/// Serves the gRPC service Entry. A call without a handler is UNIMPLEMENTED.
+class EntryServer {
+ public:
+  /// `owner` must outlive the server.
+  EntryServer(Task& owner, EntryHandlers handlers);
+
+  /// Ends the calls in flight. Handlers do not run any more.
+  ~EntryServer();
+
+  EntryServer(const EntryServer&) = delete;
+  EntryServer& operator=(const EntryServer&) = delete;
+
+  /// Listens on an IP address; port 0 picks a free one. Returns the port.
+  /// Fails with RpcListenError.
+  Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
+
+  /// Refuses new calls and lets those in flight finish until `deadline` (boot
+  /// clock), then cancels them. `done` runs on the owner's task.
+  void Shutdown(Instant deadline, std::function<void()> done);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace carobrill::rpc
+
+#endif  // PACKAGES_RPC_ENTRY_SERVER_H_
