Add gRPC servers and clients for the entry and agent services

Cause: the roles need calls that arrive as messages of their own task and failures that tell what is certain. A request may be answered with "not run" only if the call certainly was not delivered.

Ruled out: telling delivery from the status code, as UNAVAILABLE stands for a refused connection and for one that broke with the call in flight; and from the error text, which is not an interface. The client context names the peer's connection once a connection has taken the call; before that, nothing was sent, since gRPC retries are off. A shutdown on the owner's thread would wait for answers that the owner then cannot give, so a thread of its own waits.

Conclusion: kUnreachable needs UNAVAILABLE and no connection; a lost connection and an unanswered call are kInternal.

--- /dev/null
+++ b/packages/rpc/channel_pool.cc
@@ -0,0 +1,63 @@
+#include "packages/rpc/channel_pool.h"
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <grpcpp/support/channel_arguments.h>
+
+#include "packages/rpc/grpc_limits.h"
+
+namespace carobrill::rpc {
+namespace {
+
+constexpr std::int64_t kCloseAfterMs = 10LL * 60 * 1000;
+
+// Retries by gRPC are off: one attempt that is not idempotent must not be sent
+// twice. The subchannels are local, so that a pool shares no connection state
+// with another pool of the same process.
+grpc::ChannelArguments Arguments() {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                   detail::kInitialBackoffMs);
+  // This is also the time limit of one connection attempt.
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, detail::kMaxBackoffMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, detail::kMaxBackoffMs);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, detail::kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, detail::kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetMaxReceiveMessageSize(detail::kMaxMessageBytes);
+  arguments.SetMaxSendMessageSize(detail::kMaxMessageBytes);
+  return arguments;
+}
+
+}  // namespace
+
+std::shared_ptr<grpc::Channel> ChannelPool::Get(const std::string& address) {
+  const Instant now = BootClock{}.Now();
+  const std::lock_guard lock(this->mutex);
+  auto found = this->entries.find(address);
+  if (found == this->entries.end()) {
+    this->CloseUnused(now);
+    auto channel = grpc::CreateCustomChannel(
+        address, grpc::InsecureChannelCredentials(), Arguments());
+    found = this->entries.emplace(address, Entry{std::move(channel), {}}).first;
+  }
+  found->second.close_at = now.After(kCloseAfterMs);
+  return found->second.channel;
+}
+
+void ChannelPool::Forget(const std::string& address) {
+  const std::lock_guard lock(this->mutex);
+  this->entries.erase(address);
+}
+
+void ChannelPool::CloseUnused(Instant now) {
+  std::erase_if(this->entries, [now](const auto& item) {
+    return item.second.close_at <= now;
+  });
+}
+
+}  // namespace carobrill::rpc
--- /dev/null
+++ b/packages/rpc/client_core.cc
@@ -0,0 +1,79 @@
+#include "packages/rpc/client_core.h"
+
+namespace carobrill::rpc::detail {
+namespace {
+
+// gRPC replaces the peer by the address of the connection (with its scheme,
+// for example "ipv4:") when the connection takes the call, before any byte is
+// sent. Until then it is the target as given to the channel, without a scheme.
+bool ReachedConnection(const grpc::ClientContext& context) {
+  const std::string peer = context.peer();
+  return peer.starts_with("ipv4:") || peer.starts_with("ipv6:") ||
+         peer.starts_with("unix:");
+}
+
+}  // namespace
+
+// Retries are off, so a call that no connection took was never sent. A call
+// that was taken may have been delivered, whatever the status says.
+RpcFailure FailureOf(const grpc::Status& status,
+                     const grpc::ClientContext& context) {
+  switch (status.error_code()) {
+    case grpc::StatusCode::OK:
+      return RpcFailure::kNone;
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+      return RpcFailure::kTimeout;
+    case grpc::StatusCode::CANCELLED:
+      return RpcFailure::kCancelled;
+    case grpc::StatusCode::UNAVAILABLE:
+      return ReachedConnection(context) ? RpcFailure::kInternal
+                                        : RpcFailure::kUnreachable;
+    default:
+      return RpcFailure::kInternal;
+  }
+}
+
+void Prepare(grpc::ClientContext& context, Instant deadline) {
+  const auto remaining =
+      std::chrono::milliseconds(deadline.RemainingMs(BootClock{}.Now()));
+  context.set_deadline(std::chrono::system_clock::now() + remaining);
+  context.set_wait_for_ready(false);
+}
+
+std::uint64_t PendingCalls::Add(std::shared_ptr<grpc::ClientContext> context) {
+  const std::lock_guard lock(this->mutex);
+  this->contexts.emplace(++this->last, std::move(context));
+  return this->last;
+}
+
+void PendingCalls::Remove(std::uint64_t number) {
+  const std::lock_guard lock(this->mutex);
+  this->contexts.erase(number);
+}
+
+// A cancelled call may end on this thread and then removes itself, so the lock
+// is not held while calls are cancelled.
+void PendingCalls::CancelAll() {
+  std::map<std::uint64_t, std::shared_ptr<grpc::ClientContext>> taken;
+  {
+    const std::lock_guard lock(this->mutex);
+    taken.swap(this->contexts);
+  }
+  for (const auto& [number, context] : taken) {
+    context->TryCancel();
+  }
+}
+
+void ClientState::Post(const std::shared_ptr<ClientState>& state,
+                       std::function<void()> message) {
+  if (state->closed) {
+    return;
+  }
+  state->owner.Post([state, message = std::move(message)] {
+    if (!state->closed) {
+      message();
+    }
+  });
+}
+
+}  // namespace carobrill::rpc::detail
--- /dev/null
+++ b/packages/rpc/entry_server.cc
@@ -0,0 +1,176 @@
+#include "packages/rpc/entry_server.h"
+
+#include <deque>
+#include <mutex>
+#include <utility>
+
+#include "packages/rpc/control.grpc.pb.h"
+#include "packages/rpc/server_core.h"
+
+namespace carobrill::rpc {
+namespace {
+
+using State = std::shared_ptr<detail::ServerState<EntryHandlers>>;
+using Context = grpc::CallbackServerContext;
+using Reactor = grpc::ServerUnaryReactor;
+
+/// One FetchState call; lives until gRPC has reported its end.
+class StreamCall : public grpc::ServerWriteReactor<StateChunk> {
+ public:
+  static std::shared_ptr<StreamCall> Make() {
+    auto call = std::make_shared<StreamCall>();
+    call->self = call;
+    return call;
+  }
+
+  void Write(StateChunk chunk) {
+    const std::lock_guard lock(this->mutex);
+    if (this->end.has_value()) {
+      return;
+    }
+    this->queue.push_back(std::move(chunk));
+    this->Step();
+  }
+
+  /// Ends the call after the queued chunks; an error ends it at once.
+  void End(grpc::Status status) {
+    const std::lock_guard lock(this->mutex);
+    if (this->end.has_value()) {
+      return;
+    }
+    if (!status.ok()) {
+      this->queue.clear();
+    }
+    this->end = std::move(status);
+    this->Step();
+  }
+
+  void OnWriteDone(bool ok) override {
+    const std::lock_guard lock(this->mutex);
+    this->writing = false;
+    if (!ok) {
+      this->queue.clear();
+      this->end = grpc::Status(grpc::StatusCode::CANCELLED, "write failed");
+    }
+    this->Step();
+  }
+
+  void OnCancel() override {
+    this->End({grpc::StatusCode::CANCELLED, "the caller has gone"});
+  }
+
+  void OnDone() override {
+    this->on_done();
+    const auto keep = std::move(this->self);
+  }
+
+  std::function<void()> on_done = [] {};
+
+ private:
+  // One write may be in progress, and none may follow Finish.
+  void Step() {
+    if (this->writing || this->finished) {
+      return;
+    }
+    if (!this->queue.empty()) {
+      this->current = std::move(this->queue.front());
+      this->queue.pop_front();
+      this->writing = true;
+      this->StartWrite(&this->current);
+    } else if (this->end.has_value()) {
+      this->finished = true;
+      this->Finish(*this->end);
+    }
+  }
+
+  std::mutex mutex;
+  std::deque<StateChunk> queue;
+  StateChunk current;
+  bool writing = false;
+  bool finished = false;
+  std::optional<grpc::Status> end;
+  std::shared_ptr<StreamCall> self;
+};
+
+StateStream StreamFor(const std::shared_ptr<StreamCall>& call) {
+  return StateStream(StateStream::Sink{
+      [call](StateChunk chunk) { call->Write(std::move(chunk)); },
+      [call](bool complete) {
+        call->End(complete ? grpc::Status::OK
+                           : grpc::Status(grpc::StatusCode::UNAVAILABLE,
+                                          "the call was given up"));
+      }});
+}
+
+class Service final : public Entry::CallbackService {
+ public:
+  explicit Service(State state) : state(std::move(state)) {}
+
+  Reactor* Announce(Context* /*context*/,
+                    const AnnounceRequest* request,
+                    AnnounceReply* reply) override {
+    return detail::Dispatch(this->state, &EntryHandlers::announce, *request,
+                            reply);
+  }
+
+  Reactor* ReportGang(Context* /*context*/,
+                      const ReportGangRequest* request,
+                      ReportGangReply* reply) override {
+    return detail::Dispatch(this->state, &EntryHandlers::report_gang, *request,
+                            reply);
+  }
+
+  Reactor* ExchangeDigest(Context* /*context*/,
+                          const DigestRequest* request,
+                          DigestReply* reply) override {
+    return detail::Dispatch(this->state, &EntryHandlers::exchange_digest,
+                            *request, reply);
+  }
+
+  grpc::ServerWriteReactor<StateChunk>* FetchState(
+      Context* /*context*/,
+      const FetchStateRequest* request) override {
+    auto call = StreamCall::Make();
+    if (!this->state->handlers.fetch_state) {
+      call->End({grpc::StatusCode::UNIMPLEMENTED, "no handler"});
+      return call.get();
+    }
+    const auto number = this->state->open.Add([call] {
+      call->End({grpc::StatusCode::UNAVAILABLE, "the server has closed"});
+    });
+    call->on_done = [open = this->state, number] { open->open.Remove(number); };
+    this->state->owner.Post(
+        [open = this->state, request = *request, stream = StreamFor(call)] {
+          if (!open->closed) {
+            open->handlers.fetch_state(request, stream);
+          }
+        });
+    return call.get();
+  }
+
+ private:
+  State state;
+};
+
+}  // namespace
+
+class EntryServer::Impl : public detail::ServerCore<Service, EntryHandlers> {
+ public:
+  using ServerCore::ServerCore;
+};
+
+EntryServer::EntryServer(Task& owner, EntryHandlers handlers)
+    : impl(std::make_unique<Impl>(owner, std::move(handlers))) {}
+
+EntryServer::~EntryServer() = default;
+
+Result<std::uint16_t> EntryServer::Listen(const std::string& address,
+                                          std::uint16_t port) {
+  return this->impl->Listen(address, port);
+}
+
+void EntryServer::Shutdown(Instant deadline, std::function<void()> done) {
+  this->impl->Shutdown(deadline, std::move(done));
+}
+
+}  // namespace carobrill::rpc
--- /dev/null
+++ b/packages/rpc/server_core.h
@@ -0,0 +1,236 @@
+#ifndef PACKAGES_RPC_SERVER_CORE_H_
+#define PACKAGES_RPC_SERVER_CORE_H_
+
+#include <arpa/inet.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+#include <grpcpp/support/server_callback.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "packages/core/result.h"
+#include "packages/core/task.h"
+#include "packages/rpc/grpc_limits.h"
+#include "packages/rpc/rpc_types.h"
+
+namespace carobrill::rpc::detail {
+
+/// Calls that a server has not answered yet.
+class OpenCalls {
+ public:
+  /// Remembers how to end a call; returns the number that forgets it.
+  std::uint64_t Add(std::function<void()> cancel) {
+    const std::lock_guard lock(this->mutex);
+    this->cancels.emplace(++this->last, std::move(cancel));
+    return this->last;
+  }
+
+  void Remove(std::uint64_t number) {
+    const std::lock_guard lock(this->mutex);
+    this->cancels.erase(number);
+  }
+
+  void CancelAll() {
+    std::map<std::uint64_t, std::function<void()>> taken;
+    {
+      const std::lock_guard lock(this->mutex);
+      taken.swap(this->cancels);
+    }
+    for (const auto& [number, cancel] : taken) {
+      cancel();
+    }
+  }
+
+ private:
+  std::mutex mutex;
+  std::uint64_t last = 0;
+  std::map<std::uint64_t, std::function<void()>> cancels;
+};
+
+/// What the owner, the service and the calls of one server share.
+template <typename Handlers>
+struct ServerState {
+  ServerState(Task& owner, Handlers handlers)
+      : owner(owner), handlers(std::move(handlers)) {}
+
+  Task& owner;
+  Handlers handlers;
+  std::atomic<bool> closed = false;
+  OpenCalls open;
+};
+
+/// One unary call; lives until gRPC has reported its end.
+template <typename Reply>
+class UnaryCall : public grpc::ServerUnaryReactor {
+ public:
+  static std::shared_ptr<UnaryCall> Make(Reply* reply) {
+    auto call = std::make_shared<UnaryCall>(reply);
+    call->self = call;
+    return call;
+  }
+
+  explicit UnaryCall(Reply* reply) : reply(reply) {}
+
+  void Answer(std::optional<Reply> answer) {
+    if (this->ended.exchange(true)) {
+      return;
+    }
+    if (!answer.has_value()) {
+      this->Finish({grpc::StatusCode::UNAVAILABLE, "the call was given up"});
+      return;
+    }
+    *this->reply = std::move(*answer);
+    this->Finish(grpc::Status::OK);
+  }
+
+  void End(grpc::Status status) {
+    if (!this->ended.exchange(true)) {
+      this->Finish(std::move(status));
+    }
+  }
+
+  // A call that the caller has left must end here, or a shutdown of the server
+  // would wait for the owner's answer.
+  void OnCancel() override {
+    this->End({grpc::StatusCode::CANCELLED, "the caller has gone"});
+  }
+
+  void OnDone() override {
+    this->on_done();
+    const auto keep = std::move(this->self);
+  }
+
+  std::function<void()> on_done = [] {};
+
+ private:
+  Reply* reply;
+  std::atomic<bool> ended = false;
+  std::shared_ptr<UnaryCall> self;
+};
+
+/// Posts a call to the owner as a message; `handler` is a member of Handlers.
+template <typename Handlers, typename Request, typename Reply>
+grpc::ServerUnaryReactor* Dispatch(
+    const std::shared_ptr<ServerState<Handlers>>& state,
+    std::function<void(Request, Responder<Reply>)> Handlers::*handler,
+    const Request& request,
+    Reply* reply) {
+  auto call = UnaryCall<Reply>::Make(reply);
+  if (!(state->handlers.*handler)) {
+    call->End({grpc::StatusCode::UNIMPLEMENTED, "no handler"});
+    return call.get();
+  }
+  const auto number = state->open.Add([call] { call->Answer(std::nullopt); });
+  call->on_done = [state, number] { state->open.Remove(number); };
+  Responder<Reply> respond(
+      [call](std::optional<Reply> answer) { call->Answer(std::move(answer)); });
+  state->owner.Post(
+      [state, handler, request, respond = std::move(respond)]() mutable {
+        if (!state->closed) {
+          (state->handlers.*handler)(std::move(request), std::move(respond));
+        }
+      });
+  return call.get();
+}
+
+/// The gRPC server of one service and its orderly end.
+template <typename Service, typename Handlers>
+class ServerCore {
+ public:
+  ServerCore(Task& owner, Handlers handlers)
+      : state(std::make_shared<ServerState<Handlers>>(owner,
+                                                      std::move(handlers))),
+        service(this->state) {}
+
+  // Handlers refer to the owner's object, so the end is set on its thread.
+  ~ServerCore() {
+    if (this->state->owner.OnOwnThread()) {
+      this->state->closed = true;
+    } else {
+      this->state->owner.Run([this] { this->state->closed = true; });
+    }
+    this->state->open.CancelAll();
+    if (this->waiter.joinable()) {
+      this->waiter.join();
+    } else if (this->server != nullptr) {
+      this->server->Shutdown(std::chrono::system_clock::now());
+    }
+  }
+
+  ServerCore(const ServerCore&) = delete;
+  ServerCore& operator=(const ServerCore&) = delete;
+
+  Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port) {
+    const auto target = ListenTarget(address, port);
+    if (!target.has_value()) {
+      return Fail(RpcListenError{address, port, "not an IP address"});
+    }
+    grpc::ServerBuilder builder;
+    int bound = 0;
+    builder.AddListeningPort(*target, grpc::InsecureServerCredentials(),
+                             &bound);
+    builder.RegisterService(&this->service);
+    builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+    builder.SetMaxSendMessageSize(kMaxMessageBytes);
+    // Two processes on one port would each receive a part of the calls.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+        kMinProbeIntervalMs);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    this->server = builder.BuildAndStart();
+    if (this->server == nullptr || bound == 0) {
+      return Fail(RpcListenError{address, port, "cannot listen"});
+    }
+    return static_cast<std::uint16_t>(bound);
+  }
+
+  // gRPC's Shutdown blocks until the calls have ended, which needs the owner's
+  // task to run; so a thread of its own waits.
+  void Shutdown(Instant deadline, std::function<void()> done) {
+    if (this->server == nullptr || this->waiter.joinable()) {
+      this->state->owner.Post(std::move(done));
+      return;
+    }
+    this->waiter = std::thread([this, deadline, done = std::move(done)] {
+      const auto remaining =
+          std::chrono::milliseconds(deadline.RemainingMs(BootClock{}.Now()));
+      this->server->Shutdown(std::chrono::system_clock::now() + remaining);
+      this->state->owner.Post(
+          [state = this->state, done] { state->closed ? void() : done(); });
+    });
+  }
+
+ private:
+  static std::optional<std::string> ListenTarget(const std::string& address,
+                                                 std::uint16_t port) {
+    in6_addr parsed{};
+    const std::string suffix = ":" + std::to_string(port);
+    if (inet_pton(AF_INET, address.c_str(), &parsed) == 1) {
+      return address + suffix;
+    }
+    if (inet_pton(AF_INET6, address.c_str(), &parsed) == 1) {
+      return "[" + address + "]" + suffix;
+    }
+    return std::nullopt;
+  }
+
+  std::shared_ptr<ServerState<Handlers>> state;
+  Service service;
+  std::unique_ptr<grpc::Server> server;
+  std::thread waiter;
+};
+
+}  // namespace carobrill::rpc::detail
+
+#endif  // PACKAGES_RPC_SERVER_CORE_H_
--- /dev/null
+++ b/tests/rpc/rpc_test.cc
@@ -0,0 +1,262 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "packages/rpc/agent_client.h"
+#include "packages/rpc/agent_server.h"
+#include "packages/rpc/entry_client.h"
+#include "packages/rpc/entry_server.h"
+
+namespace carobrill::rpc {
+namespace {
+
+constexpr std::int64_t kPatienceMs = 5'000;
+
+Instant In(std::int64_t duration_ms) {
+  return BootClock{}.Now().After(duration_ms);
+}
+
+std::string AddressOf(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+/// A server and a client of the service Agent, each with a task.
+struct Pair {
+  explicit Pair(AgentHandlers handlers)
+      : server(std::make_unique<AgentServer>(this->server_task,
+                                             std::move(handlers))),
+        client(this->client_task, this->channels) {
+    const auto port = this->server->Listen("127.0.0.1", 0);
+    REQUIRE(port.has_value());
+    this->address = AddressOf(*port);
+  }
+
+  std::future<RpcReply<ExecuteReply>> Send(const std::string& attempt,
+                                           std::int64_t patience_ms) {
+    auto promise = std::make_shared<std::promise<RpcReply<ExecuteReply>>>();
+    ExecuteRequest request;
+    request.set_attempt(attempt);
+    this->client.Execute(this->address, request, In(patience_ms),
+                         [promise, this](RpcReply<ExecuteReply> reply) {
+                           this->own_thread = this->client_task.OnOwnThread();
+                           promise->set_value(std::move(reply));
+                         });
+    return promise->get_future();
+  }
+
+  Task server_task{"server"};
+  Task client_task{"client"};
+  ChannelPool channels;
+  std::unique_ptr<AgentServer> server;
+  AgentClient client;
+  std::string address;
+  std::atomic<bool> own_thread = false;
+};
+
+// Guards against answers that cross: two calls wait together and are answered
+// in the opposite order from another thread.
+TEST_CASE("a reply reaches the call it belongs to, on the owner's task") {
+  Task answerer("answerer");
+  std::vector<std::pair<std::string, Responder<ExecuteReply>>> kept;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest request,
+                         Responder<ExecuteReply> respond) {
+    kept.emplace_back(request.attempt(), std::move(respond));
+    if (kept.size() < 2) {
+      return;
+    }
+    answerer.Post([taken = std::move(kept)] {
+      for (auto it = taken.rbegin(); it != taken.rend(); ++it) {
+        ExecuteReply reply;
+        reply.set_attempt(it->first);
+        it->second(reply);
+        reply.set_attempt("a second answer");
+        it->second(reply);
+      }
+    });
+  };
+  Pair pair(std::move(handlers));
+  auto first = pair.Send("one", kPatienceMs);
+  auto second = pair.Send("two", kPatienceMs);
+  CHECK(first.get().value.attempt() == "one");
+  CHECK(second.get().value.attempt() == "two");
+  CHECK(pair.own_thread);
+}
+
+// Guards against "not run" being said of a call that was delivered, and against
+// a caller that waits for an answer that nobody will send.
+TEST_CASE("a call that was delivered is never reported as unreachable") {
+  std::atomic<int> delivered = 0;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest, Responder<ExecuteReply>) {
+    ++delivered;
+  };
+  Pair pair(std::move(handlers));
+  const auto reply = pair.Send("one", kPatienceMs).get();
+  CHECK(delivered == 1);
+  CHECK(reply.failure == RpcFailure::kInternal);
+}
+
+TEST_CASE("a call to a closed port is unreachable") {
+  Pair pair({});
+  const auto kept = pair.address;
+  pair.address = AddressOf(1);
+  CHECK(pair.Send("one", kPatienceMs).get().failure ==
+        RpcFailure::kUnreachable);
+  // The channel has failed before, so gRPC refuses without connecting.
+  CHECK(pair.Send("two", kPatienceMs).get().failure ==
+        RpcFailure::kUnreachable);
+  pair.address = kept;
+  CHECK(pair.Send("three", kPatienceMs).get().failure == RpcFailure::kInternal);
+}
+
+// Guards against a second delivery of an attempt by gRPC itself when the server
+// dies with the call in flight.
+TEST_CASE("holds.at_most_once: a call whose server dies is not sent again") {
+  Task second_task("second");
+  std::atomic<int> delivered = 0;
+  std::vector<Responder<ExecuteReply>> kept;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest, Responder<ExecuteReply> respond) {
+    ++delivered;
+    kept.push_back(std::move(respond));
+  };
+  Pair pair(handlers);
+  auto reply = pair.Send("one", kPatienceMs);
+  while (delivered == 0) {
+    g_usleep(1000);
+  }
+  const auto port =
+      static_cast<std::uint16_t>(std::stoi(pair.address.substr(10)));
+  pair.server.reset();
+  AgentServer successor(second_task, handlers);
+  REQUIRE(successor.Listen("127.0.0.1", port).has_value());
+  CHECK(reply.get().failure == RpcFailure::kInternal);
+  g_usleep(300'000);
+  CHECK(delivered == 1);
+  pair.server_task.Run([&] { kept.clear(); });
+}
+
+TEST_CASE("a call without an answer ends at its deadline") {
+  std::vector<Responder<ExecuteReply>> kept;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest, Responder<ExecuteReply> respond) {
+    kept.push_back(std::move(respond));
+  };
+  Pair pair(std::move(handlers));
+  CHECK(pair.Send("one", 100).get().failure == RpcFailure::kTimeout);
+  pair.server_task.Run([&] { kept.clear(); });
+}
+
+// Guards against a shutdown that cuts calls in flight.
+TEST_CASE("holds.graceful: a shutdown lets the call in flight finish") {
+  std::atomic<int> delivered = 0;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest, Responder<ExecuteReply> respond) {
+    ++delivered;
+    std::thread([respond] {
+      g_usleep(200'000);
+      respond({});
+    }).detach();
+  };
+  Pair pair(std::move(handlers));
+  auto reply = pair.Send("one", kPatienceMs);
+  while (delivered == 0) {
+    g_usleep(1000);
+  }
+  std::promise<void> done;
+  pair.server->Shutdown(In(kPatienceMs), [&] { done.set_value(); });
+  CHECK(reply.get().Ok());
+  done.get_future().wait();
+  CHECK(pair.Send("late", 500).get().failure == RpcFailure::kUnreachable);
+}
+
+// Guards against a shutdown that hangs on a call nobody answers.
+TEST_CASE("a shutdown ends what still runs at its deadline") {
+  std::vector<Responder<ExecuteReply>> kept;
+  std::atomic<int> delivered = 0;
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest, Responder<ExecuteReply> respond) {
+    kept.push_back(std::move(respond));
+    ++delivered;
+  };
+  Pair pair(std::move(handlers));
+  auto reply = pair.Send("one", kPatienceMs);
+  while (delivered == 0) {
+    g_usleep(1000);
+  }
+  std::promise<void> done;
+  const Instant started = BootClock{}.Now();
+  pair.server->Shutdown(In(100), [&] { done.set_value(); });
+  done.get_future().wait();
+  CHECK(BootClock{}.Now() < started.After(2'000));
+  CHECK_FALSE(reply.get().Ok());
+  pair.server_task.Run([&] { kept.clear(); });
+}
+
+TEST_CASE("a port in use and a wrong address are typed failures") {
+  Task task("server");
+  AgentServer first(task, {});
+  const auto port = first.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  AgentServer second(task, {});
+  const auto in_use = ErrorFrom<RpcListenError>(
+      [&] { return second.Listen("127.0.0.1", *port); });
+  REQUIRE(in_use.has_value());
+  CHECK(in_use->port == *port);
+  AgentServer third(task, {});
+  const auto wrong =
+      ErrorFrom<RpcListenError>([&] { return third.Listen("localhost", 0); });
+  REQUIRE(wrong.has_value());
+  CHECK(wrong->reason == "not an IP address");
+}
+
+/// Fetches the state of a server that runs `serve`; the chunks' lineages.
+std::pair<std::string, RpcFailure> Fetch(
+    std::function<void(FetchStateRequest, StateStream)> serve) {
+  Task server_task("server");
+  Task client_task("client");
+  EntryHandlers handlers;
+  handlers.fetch_state = std::move(serve);
+  EntryServer server(server_task, std::move(handlers));
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  ChannelPool channels;
+  EntryClient client(client_task, channels);
+  std::string seen;
+  std::promise<RpcFailure> end;
+  client.FetchState(
+      AddressOf(*port), {}, In(kPatienceMs),
+      [&](StateChunk chunk) { seen += chunk.lineage(); },
+      [&](RpcStreamEnd result) { end.set_value(result.failure); });
+  const RpcFailure failure = end.get_future().get();
+  return {seen, failure};
+}
+
+// Guards against a cut transfer that is taken for the whole state.
+TEST_CASE("a stream delivers its chunks in order and tells a cut from an end") {
+  const auto write = [](const StateStream& stream) {
+    for (const auto* lineage : {"a", "b", "c"}) {
+      StateChunk chunk;
+      chunk.set_lineage(lineage);
+      stream.Write(chunk);
+    }
+  };
+  const auto whole = Fetch([&](FetchStateRequest, StateStream stream) {
+    write(stream);
+    stream.Finish();
+  });
+  CHECK(whole.first == "abc");
+  CHECK(whole.second == RpcFailure::kNone);
+  const auto cut =
+      Fetch([&](FetchStateRequest, StateStream stream) { write(stream); });
+  CHECK(cut.second == RpcFailure::kInternal);
+}
+
+}  // namespace
+}  // namespace carobrill::rpc
