Add settings, a body limit and an idle notice of the HTTP server, tests

One table (settings_table.cc) describes every setting and points at the member that it sets, so that type, default and range come from the struct itself and the page can be held against the code.

HttpServer::WhenIdle reports the moment when the last response is written. An API that merely has answered may still have bytes in the server, and an exit at that moment would cut the response off.

Settings sources form a target of their own (carobrill_settings), so that the command-line client checks settings without linking gRPC.

Found by the new tests: a histogram with one bound threw (the axis needs two edges). Fixed with an infinite edge.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -13,6 +13,8 @@
   list(FILTER generated INCLUDE REGEX "\\.pb\\.cc$")
   # Messages without gRPC are a target of their own, see carobrill_control.
   list(FILTER sources EXCLUDE REGEX "/control\\.pb\\.cc$")
+  # The command-line client checks settings too, see carobrill_settings.
+  list(FILTER sources EXCLUDE REGEX "/daemon/settings[a-z_]*\\.cc$")
   set(target carobrill_${name})
   if(sources)
     add_library(${target} STATIC ${sources})
--- a/packages/core/metrics.cc
+++ b/packages/core/metrics.cc
@@ -10,6 +10,7 @@
 #include <cassert>
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 namespace carobrill {
 namespace {
@@ -35,6 +36,8 @@
   for (auto bound = bounds.rbegin(); bound != bounds.rend(); ++bound) {
     edges.push_back(-*bound);
   }
+  // The axis needs two edges also for a histogram with one bound.
+  edges.push_back(std::numeric_limits<double>::infinity());
   return Axis(edges);
 }
 
@@ -119,6 +122,7 @@
 Histogram::Histogram(std::vector<double> bounds)
     : bounds(std::move(bounds)),
       storage(std::make_unique<Storage>(this->bounds)) {
+  assert(!this->bounds.empty());
   assert(std::is_sorted(this->bounds.begin(), this->bounds.end()));
 }
 
@@ -133,10 +137,11 @@
   std::vector<std::uint64_t> counts;
   const auto& distribution = this->storage->distribution;
   const int bins = distribution.axis().size();
-  // The overflow bin holds what is at most the lowest bound.
-  for (int bin = bins; bin >= -1; --bin) {
+  for (int bin = bins - 1; bin >= -1; --bin) {
     counts.push_back(distribution.at(bin).value());
   }
+  // The overflow bin holds what is no number, which must not be lost.
+  counts.front() += distribution.at(bins).value();
   return counts;
 }
 
--- a/packages/daemon/api_codec.cc
+++ b/packages/daemon/api_codec.cc
@@ -56,7 +56,7 @@
 }
 
 Answer<Json> BodyOf(const HttpRequest& request, const ApiLimits& limits) {
-  if (request.body.size() > limits.max_body_bytes) {
+  if (request.body_too_large || request.body.size() > limits.max_body_bytes) {
     return Problem{ApiError::kBodyTooLarge,
                    "the body may have at most " +
                        std::to_string(limits.max_body_bytes) + " bytes"};
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -7,6 +7,7 @@
 
 #include "packages/core/log.h"
 #include "packages/core/name_table.h"
+#include "packages/core/result.h"
 
 namespace carobrill::daemon {
 
@@ -58,6 +59,8 @@
   std::uint32_t retry_percent = 10;
   std::uint32_t hedge_percent = 5;
   std::int64_t default_deadline_ms = 30'000;
+  /// Longest body of a call of the HTTP API.
+  std::uint32_t max_body_bytes = 1024 * 1024;
 };
 
 /// Settings of the planner.
@@ -122,6 +125,59 @@
   AgentSettings agent;
 };
 
+/// Why a settings file was refused.
+enum class SettingsErrorKind {
+  kUnreadable,
+  kMalformed,
+  kUnknownKey,
+  kRepeatedKey,
+  kMissingKey,
+  kWrongType,
+  kOutOfRange,
+  kInvalidValue,
+  kInconsistent,
+};
+
+constexpr auto NamesOf(SettingsErrorKind) {
+  return MakeNameTable<SettingsErrorKind>({
+      {SettingsErrorKind::kUnreadable, "unreadable"},
+      {SettingsErrorKind::kMalformed, "malformed"},
+      {SettingsErrorKind::kUnknownKey, "unknown_key"},
+      {SettingsErrorKind::kRepeatedKey, "repeated_key"},
+      {SettingsErrorKind::kMissingKey, "missing_key"},
+      {SettingsErrorKind::kWrongType, "wrong_type"},
+      {SettingsErrorKind::kOutOfRange, "out_of_range"},
+      {SettingsErrorKind::kInvalidValue, "invalid_value"},
+      {SettingsErrorKind::kInconsistent, "inconsistent"},
+  });
+}
+
+/// One fault in a settings file.
+struct SettingsFault {
+  SettingsErrorKind kind = SettingsErrorKind::kMalformed;
+  std::string file;
+  /// From 1; 0 when the key does not occur in the file.
+  std::uint32_t line = 0;
+  /// Path of the key, for example "entry.log_service.url".
+  std::string key;
+  std::string message;
+};
+
+/// All faults of a settings file, in the order of their lines.
+struct SettingsFaults {
+  std::vector<SettingsFault> faults;
+};
+
+/// One line for the reader: "file:line: key: message [kind]".
+std::string Describe(const SettingsFault& fault);
+
+/// Reads settings from JSON with comments. Fails with SettingsFaults.
+Result<Settings> ParseSettings(const std::string& text,
+                               const std::string& file);
+
+/// Reads the settings file at `path`. Fails with SettingsFaults.
+Result<Settings> LoadSettings(const std::string& path);
+
 }  // namespace carobrill::daemon
 
 #endif  // PACKAGES_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/packages/daemon/settings_table.cc
@@ -0,0 +1,325 @@
+#include "packages/daemon/settings_table.h"
+
+#include <type_traits>
+
+namespace carobrill::daemon {
+namespace {
+
+constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kHourMs = 60 * kMinuteMs;
+constexpr std::int64_t kDayMs = 24 * kHourMs;
+constexpr std::int64_t kMaxPort = 65'535;
+
+template <typename T>
+std::string ChoicesOf() {
+  std::string names;
+  for (const auto& entry : NamesOf(T{}).entries) {
+    names += (names.empty() ? "" : ", ") + std::string(entry.second);
+  }
+  return names;
+}
+
+std::string FormName(SettingForm form) {
+  switch (form) {
+    case SettingForm::kName:
+      return "name";
+    case SettingForm::kUrl:
+      return "http://ADDRESS:PORT";
+    case SettingForm::kAddress:
+      return "IP address";
+    case SettingForm::kAddressAndPort:
+      return "ADDRESS:PORT";
+    case SettingForm::kAny:
+      break;
+  }
+  return "";
+}
+
+std::vector<SettingDescription> InstanceTable() {
+  using S = Settings;
+  return {
+      {"role", [](S& s) -> SettingTarget { return &s.role; },
+       "What the process does.", "", 0, 0, SettingForm::kAny,
+       SettingNeed::kRequired},
+      {"instance.id", [](S& s) -> SettingTarget { return &s.instance.id; },
+       "Name of the instance, unique among all instances.", "", 0, 0,
+       SettingForm::kName, SettingNeed::kRequired},
+      {"instance.failure_domain",
+       [](S& s) -> SettingTarget { return &s.instance.failure_domain; },
+       "Set of instances that can fail together with this one.", "", 0, 0,
+       SettingForm::kName, SettingNeed::kRequired},
+      {"instance.region",
+       [](S& s) -> SettingTarget { return &s.instance.region; },
+       "Region of the instance.", "", 0, 0, SettingForm::kName,
+       SettingNeed::kRequired},
+      {"instance.charts_directory",
+       [](S& s) -> SettingTarget { return &s.instance.charts_directory; },
+       "Folder of the state charts."},
+      {"instance.log_level",
+       [](S& s) -> SettingTarget { return &s.instance.log_level; },
+       "Lowest level of the lines that are logged."},
+      {"instance.log_format",
+       [](S& s) -> SettingTarget { return &s.instance.log_format; },
+       "Shape of the log lines on standard output."},
+      {"instance.rpc.address",
+       [](S& s) -> SettingTarget { return &s.instance.rpc.address; },
+       "Address for calls from other instances (gRPC).", "", 0, 0,
+       SettingForm::kAddress},
+      {"instance.rpc.port",
+       [](S& s) -> SettingTarget { return &s.instance.rpc.port; },
+       "Port for calls from other instances; 0 picks a free one.", "", 0,
+       kMaxPort},
+      {"instance.http.address",
+       [](S& s) -> SettingTarget { return &s.instance.http.address; },
+       "Address for callers and operators, or for the metrics of an agent.", "",
+       0, 0, SettingForm::kAddress},
+      {"instance.http.port",
+       [](S& s) -> SettingTarget { return &s.instance.http.port; },
+       "Port for callers and operators; 0 picks a free one.", "", 0, kMaxPort},
+      {"instance.shutdown_limit_ms",
+       [](S& s) -> SettingTarget { return &s.instance.shutdown_limit_ms; },
+       "Longest graceful shutdown; what still runs then is ended.", "ms", 100,
+       kDayMs},
+  };
+}
+
+std::vector<SettingDescription> EntryTable() {
+  using S = Settings;
+  return {
+      {"entry.peers", [](S& s) -> SettingTarget { return &s.entry.peers; },
+       "gRPC addresses of the other entries.", "", 0, 0,
+       SettingForm::kAddressAndPort},
+      {"entry.digest_interval_ms",
+       [](S& s) -> SettingTarget { return &s.entry.digest_interval_ms; },
+       "Time between two digests to the other entries.", "ms", 10, kMinuteMs},
+      {"entry.agent_lease_ms",
+       [](S& s) -> SettingTarget { return &s.entry.agent_lease_ms; },
+       "Lease that an agent gets with the reply to an announcement.", "ms", 100,
+       kMinuteMs},
+      {"entry.suspect_after_ms",
+       [](S& s) -> SettingTarget { return &s.entry.suspect_after_ms; },
+       "Silence after which an instance gets no new work.", "ms", 50,
+       kMinuteMs},
+      {"entry.dead_after_ms",
+       [](S& s) -> SettingTarget { return &s.entry.dead_after_ms; },
+       "Silence after which an instance counts as gone.", "ms", 100, kMinuteMs},
+      {"entry.log_service.url",
+       [](S& s) -> SettingTarget { return &s.entry.log_service.url; },
+       "Address of the log service.", "", 0, 0, SettingForm::kUrl,
+       SettingNeed::kRequiredInEntry},
+      {"entry.log_service.record_stream",
+       [](S& s) -> SettingTarget { return &s.entry.log_service.record_stream; },
+       "Stream of the records.", "", 0, 0, SettingForm::kName},
+      {"entry.log_service.snapshot_stream",
+       [](S& s) -> SettingTarget {
+         return &s.entry.log_service.snapshot_stream;
+       },
+       "Stream of the snapshots.", "", 0, 0, SettingForm::kName},
+      {"entry.log_service.read_wait_ms",
+       [](S& s) -> SettingTarget { return &s.entry.log_service.read_wait_ms; },
+       "How long one read waits for new records.", "ms", 0, kMinuteMs},
+      {"entry.log_service.call_timeout_ms",
+       [](S& s) -> SettingTarget {
+         return &s.entry.log_service.call_timeout_ms;
+       },
+       "Longest call of the log service; longer than read_wait_ms.", "ms", 10,
+       kMinuteMs},
+      {"entry.log_service.retention_ms",
+       [](S& s) -> SettingTarget { return &s.entry.log_service.retention_ms; },
+       "How long the log service keeps records.", "ms", kMinuteMs,
+       365 * kDayMs},
+      {"entry.log_service.records_per_snapshot",
+       [](S& s) -> SettingTarget {
+         return &s.entry.log_service.records_per_snapshot;
+       },
+       "Records after which a new snapshot is written.", "records", 10,
+       10'000'000},
+      {"entry.requests.queue_limit",
+       [](S& s) -> SettingTarget { return &s.entry.requests.queue_limit; },
+       "Requests that may wait; more are refused.", "requests", 1, 1'000'000},
+      {"entry.requests.retry_percent",
+       [](S& s) -> SettingTarget { return &s.entry.requests.retry_percent; },
+       "Retries as a share of requests.", "%", 0, 100},
+      {"entry.requests.hedge_percent",
+       [](S& s) -> SettingTarget { return &s.entry.requests.hedge_percent; },
+       "Hedged attempts as a share of requests.", "%", 0, 100},
+      {"entry.requests.default_deadline_ms",
+       [](S& s) -> SettingTarget {
+         return &s.entry.requests.default_deadline_ms;
+       },
+       "Deadline of a request that names none.", "ms", 1, kHourMs},
+      {"entry.requests.max_body_bytes",
+       [](S& s) -> SettingTarget { return &s.entry.requests.max_body_bytes; },
+       "Longest body of a call of the HTTP API.", "bytes", 1024,
+       64LL * 1024 * 1024},
+      {"entry.planner.enabled",
+       [](S& s) -> SettingTarget { return &s.entry.planner.enabled; },
+       "Whether this entry may plan placements."},
+      {"entry.planner.interval_ms",
+       [](S& s) -> SettingTarget { return &s.entry.planner.interval_ms; },
+       "Time between two runs of the planner.", "ms", 1, kMinuteMs},
+      {"entry.planner.prepare_timeout_ms",
+       [](S& s) -> SettingTarget {
+         return &s.entry.planner.prepare_timeout_ms;
+       },
+       "How long a member keeps its cell for a gang that is not started.", "ms",
+       10, kMinuteMs},
+  };
+}
+
+std::vector<SettingDescription> AgentTable() {
+  using S = Settings;
+  return {
+      {"agent.entries", [](S& s) -> SettingTarget { return &s.agent.entries; },
+       "gRPC addresses of the entries that the agent may announce itself to.",
+       "", 0, 0, SettingForm::kAddressAndPort, SettingNeed::kRequiredInAgent},
+      {"agent.entries_to_announce_to",
+       [](S& s) -> SettingTarget { return &s.agent.entries_to_announce_to; },
+       "How many of the entries it announces itself to.", "entries", 1, 64},
+      {"agent.announce_interval_ms",
+       [](S& s) -> SettingTarget { return &s.agent.announce_interval_ms; },
+       "Time between two announcements.", "ms", 10, kMinuteMs},
+      {"agent.endpoint.id",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.id; },
+       "Name of the service endpoint beside the agent; without it there is "
+       "none.",
+       "", 0, 0, SettingForm::kName},
+      {"agent.endpoint.service",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.service; },
+       "Service that the endpoint answers for.", "", 0, 0, SettingForm::kName},
+      {"agent.endpoint.partner",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.partner; },
+       "Partner that provides the endpoint; empty for none.", "", 0, 0,
+       SettingForm::kName},
+      {"agent.endpoint.url",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.url; },
+       "Address of the endpoint.", "", 0, 0, SettingForm::kUrl},
+      {"agent.endpoint.slots",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.slots; },
+       "Requests that the endpoint runs at once.", "slots", 1, 1024},
+      {"agent.endpoint.connections",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.connections; },
+       "Connections to the endpoint.", "connections", 1, 65'535},
+      {"agent.endpoint.long_slots",
+       [](S& s) -> SettingTarget { return &s.agent.endpoint.long_slots; },
+       "Slots that work predicted to be long may use.", "slots", 1, 1024},
+      {"agent.worker.id",
+       [](S& s) -> SettingTarget { return &s.agent.worker.id; },
+       "Name of the worker beside the agent; without it there is none.", "", 0,
+       0, SettingForm::kName},
+      {"agent.worker.rack",
+       [](S& s) -> SettingTarget { return &s.agent.worker.rack; },
+       "Rack of the worker.", "", 0, 0, SettingForm::kName},
+      {"agent.worker.url",
+       [](S& s) -> SettingTarget { return &s.agent.worker.url; },
+       "Address of the worker.", "", 0, 0, SettingForm::kUrl},
+      {"agent.worker.task_lease_ms",
+       [](S& s) -> SettingTarget { return &s.agent.worker.task_lease_ms; },
+       "Lease of a task; it ends by itself when nobody renews it.", "ms", 100,
+       kMinuteMs},
+      {"agent.worker.member_interval_ms",
+       [](S& s) -> SettingTarget { return &s.agent.worker.member_interval_ms; },
+       "Time between two calls of a gang member to its watcher.", "ms", 10,
+       kMinuteMs},
+      {"agent.worker.member_silence_ms",
+       [](S& s) -> SettingTarget { return &s.agent.worker.member_silence_ms; },
+       "Silence of a member after which the watcher stops the gang.", "ms", 50,
+       kMinuteMs},
+  };
+}
+
+std::vector<SettingDescription> MakeTable() {
+  auto table = InstanceTable();
+  for (const auto& part : {EntryTable(), AgentTable()}) {
+    table.insert(table.end(), part.begin(), part.end());
+  }
+  return table;
+}
+
+}  // namespace
+
+const std::vector<SettingDescription>& AllSettings() {
+  static const std::vector<SettingDescription> table = MakeTable();
+  return table;
+}
+
+std::string TypeOf(const SettingDescription& setting) {
+  Settings settings;
+  return std::visit(
+      [](auto* member) -> std::string {
+        using T = std::remove_pointer_t<decltype(member)>;
+        if constexpr (std::is_same_v<T, std::string>) {
+          return "text";
+        } else if constexpr (std::is_same_v<T, bool>) {
+          return "boolean";
+        } else if constexpr (std::is_enum_v<T>) {
+          return "choice";
+        } else if constexpr (std::is_integral_v<T>) {
+          return "integer";
+        } else {
+          return "list of text";
+        }
+      },
+      setting.target(settings));
+}
+
+std::string DefaultOf(const SettingDescription& setting) {
+  if (setting.need != SettingNeed::kOptional) {
+    return "required";
+  }
+  // Depends on the folder of the installation.
+  if (setting.name == "instance.charts_directory") {
+    return "as installed";
+  }
+  Settings settings;
+  return std::visit(
+      [](auto* member) -> std::string {
+        using T = std::remove_pointer_t<decltype(member)>;
+        if constexpr (std::is_same_v<T, std::string>) {
+          return member->empty() ? "none" : *member;
+        } else if constexpr (std::is_same_v<T, bool>) {
+          return *member ? "true" : "false";
+        } else if constexpr (std::is_enum_v<T>) {
+          return std::string(NameOf(*member));
+        } else if constexpr (std::is_integral_v<T>) {
+          return std::to_string(*member);
+        } else {
+          return "none";
+        }
+      },
+      setting.target(settings));
+}
+
+std::string RangeOf(const SettingDescription& setting) {
+  Settings settings;
+  return std::visit(
+      [&](auto* member) -> std::string {
+        using T = std::remove_pointer_t<decltype(member)>;
+        if constexpr (std::is_same_v<T, bool>) {
+          return "true, false";
+        } else if constexpr (std::is_enum_v<T>) {
+          return ChoicesOf<T>();
+        } else if constexpr (std::is_integral_v<T>) {
+          return std::to_string(setting.min) + " to " +
+                 std::to_string(setting.max);
+        } else {
+          return FormName(setting.form);
+        }
+      },
+      setting.target(settings));
+}
+
+std::string SettingsMarkdown() {
+  std::string text =
+      "| Setting | Type | Unit | Default | Range | Meaning |\n"
+      "|---|---|---|---|---|---|\n";
+  for (const auto& setting : AllSettings()) {
+    text += "| `" + std::string(setting.name) + "` | " + TypeOf(setting) +
+            " | " + std::string(setting.unit) + " | " + DefaultOf(setting) +
+            " | " + RangeOf(setting) + " | " + std::string(setting.sentence) +
+            " |\n";
+  }
+  return text;
+}
+
+}  // namespace carobrill::daemon
--- /dev/null
+++ b/packages/daemon/settings_table.h
@@ -0,0 +1,74 @@
+#ifndef PACKAGES_DAEMON_SETTINGS_TABLE_H_
+#define PACKAGES_DAEMON_SETTINGS_TABLE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "packages/daemon/settings.h"
+
+namespace carobrill::daemon {
+
+/// Form of the text of a setting.
+enum class SettingForm {
+  kAny,
+  /// 1 to 64 characters of [A-Za-z0-9._-].
+  kName,
+  /// http://ADDRESS:PORT without a path.
+  kUrl,
+  /// An IP address.
+  kAddress,
+  /// An IP address and a port, "ip:port".
+  kAddressAndPort,
+};
+
+/// When a setting must be given.
+enum class SettingNeed {
+  kOptional,
+  kRequired,
+  kRequiredInEntry,
+  kRequiredInAgent
+};
+
+/// The member of `Settings` that a setting sets.
+using SettingTarget = std::variant<std::string*,
+                                   std::int64_t*,
+                                   std::uint32_t*,
+                                   std::uint16_t*,
+                                   bool*,
+                                   Role*,
+                                   LogLevel*,
+                                   LogFormat*,
+                                   std::vector<std::string>*>;
+
+/// Describes one setting. Its default is that of the member it sets.
+struct SettingDescription {
+  /// Path of the key, for example "entry.log_service.url".
+  std::string_view name;
+  SettingTarget (*target)(Settings&);
+  std::string_view sentence;
+  std::string_view unit = "";
+  std::int64_t min = 0;
+  std::int64_t max = 0;
+  SettingForm form = SettingForm::kAny;
+  SettingNeed need = SettingNeed::kOptional;
+};
+
+/// All settings, in the order of the documentation.
+const std::vector<SettingDescription>& AllSettings();
+
+/// @{
+/// Columns of the documentation.
+std::string TypeOf(const SettingDescription& setting);
+std::string DefaultOf(const SettingDescription& setting);
+std::string RangeOf(const SettingDescription& setting);
+/// @}
+
+/// The table of all settings in Markdown, as in docs/operations/settings.md.
+std::string SettingsMarkdown();
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_SETTINGS_TABLE_H_
--- a/packages/platform/http_server.cc
+++ b/packages/platform/http_server.cc
@@ -9,6 +9,8 @@
 namespace carobrill::platform {
 namespace {
 
+constexpr const char* kBodySizeKey = "carobrill-body-size";
+
 /// A request that waits for its response. Used on the server's task only.
 struct OpenExchange {
   SoupServerMessage* message = nullptr;
@@ -55,6 +57,10 @@
   soup_message_headers_foreach(soup_server_message_get_request_headers(message),
                                AddHeader, &request);
   SoupMessageBody* body = soup_server_message_get_request_body(message);
+  request.body_too_large = soup_message_body_get_accumulate(body) == FALSE;
+  if (request.body_too_large) {
+    return request;
+  }
   GBytes* bytes = soup_message_body_flatten(body);
   gsize size = 0;
   const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
@@ -88,8 +94,48 @@
 struct HandlerData {
   Task* task;
   HttpHandler* handler;
+  std::shared_ptr<detail::ServerActivity> activity;
 };
 
+using ActivityRef = std::shared_ptr<detail::ServerActivity>;
+
+// A message is destroyed after its response is written or its connection has
+// closed, whatever became of the responder.
+void OnMessageGone(gpointer data, GObject* /*message*/) {
+  const std::unique_ptr<ActivityRef> reference(static_cast<ActivityRef*>(data));
+  detail::ServerActivity& activity = **reference;
+  --activity.open;
+  if (activity.open == 0 && activity.when_idle) {
+    std::exchange(activity.when_idle, {})();
+  }
+}
+
+void CountOpen(SoupServerMessage* message, const ActivityRef& activity) {
+  ++activity->open;
+  g_object_weak_ref(G_OBJECT(message), OnMessageGone,
+                    new ActivityRef(activity));
+}
+
+// Stops keeping the body at the limit, so that a caller cannot use up the
+// memory; the rest is read and dropped.
+void OnChunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
+  const auto limit = *static_cast<const std::size_t*>(data);
+  const auto before =
+      GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), kBodySizeKey));
+  const auto size = before + g_bytes_get_size(chunk);
+  g_object_set_data(G_OBJECT(message), kBodySizeKey, GSIZE_TO_POINTER(size));
+  if (size > limit) {
+    SoupMessageBody* body = soup_server_message_get_request_body(message);
+    soup_message_body_set_accumulate(body, FALSE);
+  }
+}
+
+void OnStarted(SoupServer* /*server*/,
+               SoupServerMessage* message,
+               gpointer data) {
+  g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunk), data);
+}
+
 std::shared_ptr<OpenExchange> PauseExchange(SoupServerMessage* message) {
   auto exchange = std::make_shared<OpenExchange>();
   exchange->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
@@ -119,6 +165,7 @@
                GHashTable* query,
                gpointer data) {
   auto* handler_data = static_cast<HandlerData*>(data);
+  CountOpen(message, handler_data->activity);
   const HttpRequest request = ReadRequest(message, path, query);
   (*handler_data->handler)(request, MakeResponder(handler_data->task, message));
 }
@@ -137,18 +184,27 @@
 
 }  // namespace
 
-HttpServer::HttpServer(Task& task, HttpHandler handler)
-    : task(task), handler(std::move(handler)) {
+HttpServer::HttpServer(Task& task,
+                       HttpHandler handler,
+                       std::size_t max_body_bytes)
+    : task(task),
+      handler(std::move(handler)),
+      max_body_bytes(max_body_bytes),
+      activity(std::make_shared<detail::ServerActivity>()) {
   this->RunOnTask([this] {
     this->server = soup_server_new(nullptr, nullptr);
-    soup_server_add_handler(this->server, nullptr, OnRequest,
-                            new HandlerData{&this->task, &this->handler},
-                            DeleteHandlerData);
+    soup_server_add_handler(
+        this->server, nullptr, OnRequest,
+        new HandlerData{&this->task, &this->handler, this->activity},
+        DeleteHandlerData);
+    g_signal_connect(this->server, "request-started", G_CALLBACK(OnStarted),
+                     &this->max_body_bytes);
   });
 }
 
 HttpServer::~HttpServer() {
   this->RunOnTask([this] {
+    this->activity->when_idle = {};
     soup_server_disconnect(this->server);
     g_object_unref(this->server);
   });
@@ -191,6 +247,16 @@
   });
 }
 
+void HttpServer::WhenIdle(std::function<void()> callback) {
+  this->RunOnTask([&] {
+    if (this->activity->open == 0) {
+      callback();
+      return;
+    }
+    this->activity->when_idle = std::move(callback);
+  });
+}
+
 void HttpServer::RunOnTask(const Task::Message& function) {
   if (this->task.OnOwnThread()) {
     function();
--- a/packages/platform/http_server.h
+++ b/packages/platform/http_server.h
@@ -1,7 +1,10 @@
 #ifndef PACKAGES_PLATFORM_HTTP_SERVER_H_
 #define PACKAGES_PLATFORM_HTTP_SERVER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
 
 #include "packages/core/result.h"
@@ -19,12 +22,28 @@
   std::string reason;
 };
 
+namespace detail {
+
+/// Requests of a server that are not finished. Used on the server's task only.
+struct ServerActivity {
+  std::size_t open = 0;
+  std::function<void()> when_idle;
+};
+
+}  // namespace detail
+
+/// Largest request body that a server keeps by default.
+inline constexpr std::size_t kDefaultMaxBodyBytes = std::size_t{8} << 20;
+
 /// An HTTP server whose sockets belong to one task.
 class HttpServer {
  public:
   /// `handler` runs on `task` for every request; `task` must outlive the
-  /// server.
-  HttpServer(Task& task, HttpHandler handler);
+  /// server. A request with a longer body than `max_body_bytes` reaches the
+  /// handler without its body.
+  HttpServer(Task& task,
+             HttpHandler handler,
+             std::size_t max_body_bytes = kDefaultMaxBodyBytes);
 
   /// Closes all connections.
   ~HttpServer();
@@ -39,11 +58,17 @@
   /// Closes the listening sockets; requests in progress go on.
   void StopListening();
 
+  /// Runs `callback` once on the task as soon as every request has its whole
+  /// response written or its connection closed.
+  void WhenIdle(std::function<void()> callback);
+
  private:
   void RunOnTask(const Task::Message& function);
 
   Task& task;
   HttpHandler handler;
+  std::size_t max_body_bytes;
+  std::shared_ptr<detail::ServerActivity> activity;
   SoupServer* server = nullptr;
 };
 
--- a/packages/platform/http_types.h
+++ b/packages/platform/http_types.h
@@ -36,6 +36,8 @@
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;
   std::string body;
+  /// True when the body exceeded the server's limit; `body` is then empty.
+  bool body_too_large = false;
 };
 
 /// What a server answers.
--- /dev/null
+++ b/tests/daemon/fake_backend.h
@@ -0,0 +1,91 @@
+#ifndef TESTS_DAEMON_FAKE_BACKEND_H_
+#define TESTS_DAEMON_FAKE_BACKEND_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "packages/daemon/http_api.h"
+
+namespace carobrill::daemon {
+
+/// A backend that keeps requests until the test answers them and answers the
+/// other calls at once.
+struct FakeBackend {
+  struct OpenRequest {
+    RequestCommand command;
+    AnswerCallback<RequestAnswer> reply;
+  };
+
+  void ExecuteRequest(RequestCommand command,
+                      AnswerCallback<RequestAnswer> reply) {
+    this->requests.push_back({std::move(command), std::move(reply)});
+  }
+  void SubmitJob(JobCommand command, AnswerCallback<JobView> reply) {
+    JobView view;
+    view.job = JobId("job-1");
+    view.account = command.account;
+    view.state = "queued";
+    this->jobs.push_back(std::move(command));
+    reply(view);
+  }
+  void CancelJob(CancelCommand command, AnswerCallback<JobView> reply) {
+    reply(Problem{ApiError::kUnknownJob, command.job.value});
+  }
+  void GetJob(JobId job, AnswerCallback<JobView> reply) {
+    JobView view;
+    view.job = job;
+    reply(view);
+  }
+  void ListJobs(JobQuery query, AnswerCallback<Page<JobView>> reply) {
+    this->last_query = std::move(query);
+    reply(Page<JobView>{{JobView{}}, "next"});
+  }
+  void GetRules(AnswerCallback<RulesView> reply) { reply(RulesView{}); }
+  void Publish(PublishRules command, AnswerCallback<RulesView> reply) {
+    if (command.base_version != 0) {
+      reply(Problem{ApiError::kRulesConflict, "conflict", {}, 7, "+a"});
+      return;
+    }
+    reply(RulesView{1, command.author, command.text, 0});
+  }
+  void CheckRules(std::string, AnswerCallback<RulesCheckView> reply) {
+    reply(RulesCheckView{true, 0, {}, ""});
+  }
+  void ListRuleVersions(PageQuery,
+                        AnswerCallback<Page<RuleVersionView>> reply) {
+    reply(Page<RuleVersionView>{});
+  }
+  void ListAccounts(PageQuery, AnswerCallback<Page<AccountView>> reply) {
+    reply(Page<AccountView>{{AccountView{}}, ""});
+  }
+  void ListWorkers(PageQuery, AnswerCallback<Page<WorkerView>> reply) {
+    reply(Page<WorkerView>{{WorkerView{}}, ""});
+  }
+  void ListEndpoints(PageQuery, AnswerCallback<Page<EndpointView>> reply) {
+    reply(Page<EndpointView>{{EndpointView{}}, ""});
+  }
+  void ListInstances(PageQuery, AnswerCallback<Page<InstanceView>> reply) {
+    reply(Page<InstanceView>{{InstanceView{}}, ""});
+  }
+  void ListAudit(PageQuery, AnswerCallback<Page<AuditView>> reply) {
+    reply(Page<AuditView>{{AuditView{}}, ""});
+  }
+  void SetWorkerDrain(DrainCommand command, AnswerCallback<WorkerView> reply) {
+    WorkerView view;
+    view.worker = command.worker;
+    view.state = command.drain ? "draining" : "ready";
+    reply(view);
+  }
+  Readiness CurrentReadiness() const { return this->readiness; }
+
+  std::vector<OpenRequest> requests;
+  std::vector<JobCommand> jobs;
+  JobQuery last_query;
+  Readiness readiness{true, ""};
+};
+
+}  // namespace carobrill::daemon
+
+#endif  // TESTS_DAEMON_FAKE_BACKEND_H_
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <string>
+#include <vector>
 
 #include "packages/platform/http_client.h"
 #include "packages/platform/http_server.h"
@@ -79,5 +81,72 @@
   CHECK(error->reason == "not an IP address");
 }
 
+TEST_CASE("a body above the limit is dropped, not kept") {
+  // Guards against a caller that uses up the memory of the server.
+  Task server_task("server");
+  Task client_task("client");
+  HttpServer server(
+      server_task,
+      [](const HttpRequest& request, HttpResponder respond) {
+        HttpResponse response;
+        response.body = request.body_too_large ? "too large" : request.body;
+        respond(response);
+      },
+      1000);
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  HttpClient client(client_task);
+  HttpCall call;
+  call.method = "POST";
+  call.url = UrlOf(*port, "/");
+  call.body = std::string(1000, 'a');
+  CHECK(client.SendAndWait(call).body == call.body);
+  call.body = std::string(1'000'000, 'a');
+  CHECK(client.SendAndWait(call).body == "too large");
+  call.body = "b";
+  CHECK(client.SendAndWait(call).body == "b");
+}
+
+TEST_CASE("a server is idle once the last response is written") {
+  // Guards against a shutdown that cuts off a response.
+  Task server_task("server");
+  Task client_task("client");
+  std::vector<HttpResponder> kept;
+  HttpServer server(server_task,
+                    [&](const HttpRequest&, HttpResponder respond) {
+                      kept.push_back(std::move(respond));
+                    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  std::atomic<int> idle = 0;
+  server.WhenIdle([&] { ++idle; });
+  CHECK(idle == 1);
+  std::atomic<bool> answered = false;
+  HttpClient client(client_task);
+  HttpCall call;
+  call.url = UrlOf(*port, "/");
+  client.Send(call, [&](HttpReply reply) { answered = reply.Ok(); });
+  const auto give_up = BootClock{}.Now().After(10'000);
+  const auto wait_for = [&](auto condition) {
+    while (!condition() && BootClock{}.Now() < give_up) {
+      g_usleep(1000);
+    }
+    return condition();
+  };
+  bool arrived = false;
+  REQUIRE(wait_for([&] {
+    server_task.Run([&] { arrived = !kept.empty(); });
+    return arrived;
+  }));
+  server.WhenIdle([&] { ++idle; });
+  CHECK(idle == 1);
+  server_task.Run([&] {
+    kept.front()({});
+    kept.clear();
+  });
+  CHECK(wait_for([&] { return idle == 2; }));
+  CHECK(wait_for([&] { return answered.load(); }));
+}
+
 }  // namespace
 }  // namespace carobrill::platform
