Add the daemon's runner and the command-line client

carobrill takes its commands, options and help from one table. A call that may have taken effect unseen goes to the next entry only if a repeat is harmless (a read, or a call with an Idempotency-Key); a publication of rules has no key and is not repeated. For this, HttpReply says whether the call may have been sent. "ran: no" of a later entry does not cover an earlier attempt that got no answer, so the outcome is then reported as unknown.

--- /dev/null
+++ b/packages/cli/list_commands.h
@@ -0,0 +1,20 @@
+#ifndef PACKAGES_CLI_LIST_COMMANDS_H_
+#define PACKAGES_CLI_LIST_COMMANDS_H_
+
+#include <optional>
+#include <string_view>
+
+#include "packages/cli/cli_error.h"
+#include "packages/cli/session.h"
+#include "packages/core/result.h"
+
+namespace carobrill::cli {
+
+/// Runs a command that prints a list; nothing when `command` is none of them.
+/// Fails with CliError.
+std::optional<Result<CliExit>> RunListCommand(std::string_view command,
+                                              const Session& session);
+
+}  // namespace carobrill::cli
+
+#endif  // PACKAGES_CLI_LIST_COMMANDS_H_
--- /dev/null
+++ b/packages/daemon/daemon_options.h
@@ -0,0 +1,59 @@
+#ifndef PACKAGES_DAEMON_DAEMON_OPTIONS_H_
+#define PACKAGES_DAEMON_DAEMON_OPTIONS_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "packages/core/name_table.h"
+
+namespace carobrill::daemon {
+
+/// How carobrilld ends; the values are its exit codes.
+enum class ExitCode {
+  kOk = 0,
+  kInternal = 1,
+  kUsage = 2,
+  kSettings = 3,
+  kCannotListen = 4,
+  kCharts = 5,
+  kShutdownCutShort = 6,
+};
+
+constexpr auto NamesOf(ExitCode) {
+  return MakeNameTable<ExitCode>({
+      {ExitCode::kOk, "ended as asked"},
+      {ExitCode::kInternal, "internal error"},
+      {ExitCode::kUsage, "wrong usage"},
+      {ExitCode::kSettings, "wrong settings"},
+      {ExitCode::kCannotListen, "cannot listen on an address"},
+      {ExitCode::kCharts, "the state charts are missing or wrong"},
+      {ExitCode::kShutdownCutShort,
+       "the shutdown was cut short by its limit or a second signal"},
+  });
+}
+
+/// What carobrilld is asked to do.
+enum class DaemonAction { kRun, kCheck, kVersion, kHelp };
+
+/// The command line of carobrilld.
+struct DaemonOptions {
+  DaemonAction action = DaemonAction::kRun;
+  std::string settings_path;
+};
+
+/// Why a command line was refused.
+struct UsageError {
+  std::string message;
+};
+
+/// Reads a command line; `arguments` starts with the name of the program.
+std::variant<DaemonOptions, UsageError> ParseDaemonOptions(
+    std::vector<std::string> arguments);
+
+/// The text of --help, with the exit codes.
+std::string DaemonHelp();
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_DAEMON_OPTIONS_H_
--- a/packages/platform/http_client.cc
+++ b/packages/platform/http_client.cc
@@ -37,6 +37,19 @@
   return HttpFailure::kUnreachable;
 }
 
+// Errors of the connection setup; any other error may come after the call was
+// sent.
+bool MaybeSent(const GError* error) {
+  for (const int code :
+       {G_IO_ERROR_CONNECTION_REFUSED, G_IO_ERROR_HOST_UNREACHABLE,
+        G_IO_ERROR_NETWORK_UNREACHABLE}) {
+    if (g_error_matches(error, G_IO_ERROR, code) != FALSE) {
+      return false;
+    }
+  }
+  return error->domain != G_RESOLVER_ERROR;
+}
+
 void StopTimer(PendingCall& pending) {
   if (pending.timer == nullptr) {
     return;
@@ -55,6 +68,7 @@
   HttpReply reply;
   if (bytes == nullptr) {
     reply.failure = FailureOf(*pending, error);
+    reply.maybe_sent = MaybeSent(error);
     g_clear_error(&error);
   } else {
     gsize size = 0;
@@ -136,7 +150,7 @@
   SoupMessage* message =
       soup_message_new(call.method.c_str(), call.url.c_str());
   if (message == nullptr) {
-    callback(HttpReply{HttpFailure::kInvalidUrl, 0, {}});
+    callback(HttpReply{HttpFailure::kInvalidUrl, 0, {}, false});
     return;
   }
   for (const auto& [name, value] : call.headers) {
--- a/packages/platform/http_types.h
+++ b/packages/platform/http_types.h
@@ -64,6 +64,8 @@
   HttpFailure failure = HttpFailure::kNone;
   int status = 0;
   std::string body;
+  /// False when no connection came about, so that the call was never sent.
+  bool maybe_sent = true;
 
   /// True for a whole response with a 2xx status.
   bool Ok() const {
