--- a/packages/cli/job_commands.cc
+++ b/packages/cli/job_commands.cc
@@ -112,21 +112,23 @@
   return key.has_value() ? *key : NewKey();
 }
 
-/// Adds to an error whose outcome is open how to ask again.
-template <typename T>
-Result<T> WithKeyHint(Result<T> result, const std::string& key) {
-  if (result) {
-    return result;
+/// Makes a call with a key; an error whose outcome is open says how to ask
+/// again.
+Result<json> CallWithKey(const Session& session,
+                         const ApiCall& call,
+                         const std::string& key) {
+  CliError failure;
+  auto answer =
+      ValueOr<CliError>([&] { return session.caller.Call(call); },
+                        [&](const CliError& error) { failure = error; });
+  if (answer.has_value()) {
+    return std::move(*answer);
   }
-  return boost::leaf::try_handle_some(
-      [&]() -> Result<T> { return std::move(result); },
-      [&](CliError error) -> Result<T> {
-        if (error.exit == CliExit::kOutcomeUnknown) {
-          error.message += "\nrepeat the same command with --key " + key +
-                           " to learn the outcome";
-        }
-        return Fail(std::move(error));
-      });
+  if (failure.exit == CliExit::kOutcomeUnknown) {
+    failure.message +=
+        "\nrepeat the same command with --key " + key + " to learn the outcome";
+  }
+  return Fail(std::move(failure));
 }
 
 ApiCall WorkCall(const std::string& path,
@@ -229,9 +231,9 @@
   BOOST_LEAF_AUTO(body, JobBody(session.line));
   BOOST_LEAF_AUTO(text, Serialized(body));
   const std::string key = KeyOf(session.line);
-  BOOST_LEAF_AUTO(job, WithKeyHint(session.caller.Call(WorkCall(
-                                       "/v1/jobs", std::move(text), key)),
-                                   key));
+  BOOST_LEAF_AUTO(
+      job,
+      CallWithKey(session, WorkCall("/v1/jobs", std::move(text), key), key));
   if (session.line.Has("wait")) {
     return WaitForEnd(session, std::move(job));
   }
@@ -278,9 +280,7 @@
   const auto path =
       "/v1/services/" + QueryEscaped(session.line.argument) + "/requests";
   BOOST_LEAF_AUTO(
-      answer,
-      WithKeyHint(session.caller.Call(WorkCall(path, std::move(text), key)),
-                  key));
+      answer, CallWithKey(session, WorkCall(path, std::move(text), key), key));
   const auto found = answer.find("answer");
   session.Print(answer, (found != answer.end() && found->is_string()
                              ? found->get<std::string>()
--- /dev/null
+++ b/tests/cli/cli_test.cc
@@ -0,0 +1,406 @@
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+
+#include "packages/cli/command_line.h"
+#include "packages/cli/command_table.h"
+#include "packages/cli/job_commands.h"
+#include "packages/cli/output.h"
+#include "packages/cli/run.h"
+#include "tests/cli/fake_entry.h"
+
+namespace carobrill::cli {
+namespace {
+
+using nlohmann::json;
+using Words = std::vector<std::string>;
+
+constexpr const char* kClosed = "http://127.0.0.1:1";
+
+struct Outcome {
+  CliExit exit = CliExit::kInternal;
+  std::string out;
+  std::string err;
+};
+
+/// Sends one stream of the process into a file while it lives.
+class Capture {
+ public:
+  explicit Capture(FILE* stream)
+      : stream(stream), file(std::tmpfile()), saved(dup(fileno(stream))) {
+    std::fflush(stream);
+    dup2(fileno(this->file), fileno(stream));
+  }
+
+  std::string Finish() {
+    std::fflush(this->stream);
+    dup2(this->saved, fileno(this->stream));
+    close(this->saved);
+    std::rewind(this->file);
+    std::string text;
+    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
+      text += static_cast<char>(c);
+    }
+    std::fclose(this->file);
+    return text;
+  }
+
+ private:
+  FILE* stream;
+  FILE* file;
+  int saved;
+};
+
+Outcome RunWords(Words words) {
+  words.insert(words.begin(), "carobrill");
+  Capture out(stdout);
+  Capture err(stderr);
+  Outcome outcome;
+  outcome.exit = Run(words);
+  outcome.err = err.Finish();
+  outcome.out = out.Finish();
+  return outcome;
+}
+
+std::string ProblemBody(const std::string& name, const std::string& ran) {
+  return json{{"type", "urn:carobrill:error:" + name},
+              {"title", "Title"},
+              {"detail", "detail"},
+              {"ran", ran}}
+      .dump();
+}
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream stream(std::string(CAROBRILL_SOURCE_DIRECTORY) + "/" + path);
+  REQUIRE_MESSAGE(stream.is_open(), path);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+/// A file that is removed at the end of the test.
+struct TemporaryFile {
+  explicit TemporaryFile(const std::string& text) {
+    char name[] = "/tmp/carobrill_test_XXXXXX";
+    close(mkstemp(name));
+    this->path = name;
+    std::ofstream(this->path) << text;
+  }
+  ~TemporaryFile() { unlink(this->path.c_str()); }
+
+  std::string path;
+};
+
+Words RequestWords(const Words& urls) {
+  Words words;
+  for (const auto& url : urls) {
+    words.insert(words.end(), {"--entry", url});
+  }
+  words.insert(words.end(),
+               {"--timeout-ms", "300", "request", "checks", "--account", "acme",
+                "--class", "urgent", "--kind", "check"});
+  return words;
+}
+
+TEST_CASE("options are taken before and after the command") {
+  // Guards against options that are silently dropped.
+  const auto line =
+      ParseCommandLine({"carobrill", "-e", "http://a", "rules", "publish",
+                        "--author", "A", "file", "--json", "-ehttp://b"});
+  REQUIRE(line.has_value());
+  CHECK(line->command->name == "rules publish");
+  CHECK(line->argument == "file");
+  CHECK(line->Value("author") == "A");
+  CHECK(line->Has("json"));
+  CHECK(line->options.at("entry") == Words{"http://a", "http://b"});
+}
+
+TEST_CASE("wrong usage names the mistake and ends with 2") {
+  // Guards against a mistyped command that does something else.
+  const std::vector<std::pair<Words, std::string>> cases = {
+      {{}, "a command is missing"},
+      {{"statsu"}, "the command 'statsu' is not known"},
+      {{"rules"}, "the command 'rules' needs a second word"},
+      {{"rules", "chekc"}, "the command 'rules chekc' is not known"},
+      {{"status"}, "JOB is missing"},
+      {{"status", "a", "b"}, "unexpected argument 'b'"},
+      {{"status", "--wait", "a"}, "the option --wait is not known here"},
+      {{"submit", "--account"}, "the option --account needs a value"},
+      {{"submit", "--account", "a", "--class", "batch", "--kind", "k",
+        "--members", "two"},
+       "--members must be an integer from 0 to 1000000000"},
+      {{"submit", "--class", "batch"}, "--account is missing"},
+      {{"queue", "--limit", "0"},
+       "--limit must be an integer from 1 to 1000000000"},
+  };
+  for (const auto& [words, message] : cases) {
+    const auto outcome = RunWords(words);
+    CHECK(outcome.exit == CliExit::kUsage);
+    CHECK(outcome.err == "carobrill: " + message + "\nTry carobrill --help.\n");
+    CHECK(outcome.out.empty());
+  }
+}
+
+TEST_CASE("there is help at every level") {
+  // Guards against a command that runs although help was asked for.
+  CHECK(RunWords({"--help"}).out == ProgramHelp());
+  CHECK(RunWords({"rules", "--help"}).out == GroupHelp("rules"));
+  CHECK(RunWords({"--version"}).out == "carobrill " CAROBRILL_VERSION "\n");
+  for (const auto& command : AllCommands()) {
+    std::istringstream stream{std::string(command.name)};
+    Words words;
+    for (std::string word; stream >> word;) {
+      words.push_back(word);
+    }
+    words.push_back("--help");
+    const auto outcome = RunWords(words);
+    CHECK(outcome.exit == CliExit::kOk);
+    CHECK(outcome.out == CommandHelp(command));
+  }
+}
+
+TEST_CASE("entries are tried in turn") {
+  // Guards against a command that fails because the first entry is down,
+  // draining or not ready.
+  FakeEntry draining(FakeEntry::Always(503, ProblemBody("draining", "no")));
+  FakeEntry serving(FakeEntry::Always(200, R"({"answer":"done"})"));
+  const auto outcome =
+      RunWords(RequestWords({kClosed, draining.Url(), serving.Url() + "/"}));
+  CHECK(outcome.exit == CliExit::kOk);
+  CHECK(outcome.out == "done\n");
+  CHECK(draining.Requests().size() == 1);
+  const auto none = RunWords(RequestWords({kClosed}));
+  CHECK(none.exit == CliExit::kUnreachable);
+  CHECK(none.err.find("no entry answered") != std::string::npos);
+}
+
+TEST_CASE(
+    "holds.at_most_once: a request that may have run is repeated only "
+    "with its key") {
+  // Guards against a second run of a request whose answer was lost.
+  FakeEntry silent(FakeEntry::Never());
+  FakeEntry serving(FakeEntry::Always(200, R"({"answer":"done"})"));
+  const auto outcome = RunWords(RequestWords({silent.Url(), serving.Url()}));
+  CHECK(outcome.exit == CliExit::kOk);
+  const auto first = silent.Requests().at(0).headers.at("idempotency-key");
+  const auto second = serving.Requests().at(0).headers.at("idempotency-key");
+  CHECK(first.size() == 32);
+  CHECK(first == second);
+  CHECK(json::parse(serving.Requests().at(0).body)["idempotent"] == false);
+
+  // Rules carry no key: another entry must not get them too.
+  FakeEntry other(FakeEntry::Always(200, R"({"version":8})"));
+  const TemporaryFile rules("account a\n");
+  const auto published =
+      RunWords({"-e", silent.Url(), "-e", other.Url(), "--timeout-ms", "300",
+                "rules", "publish", "--base", "7", rules.path});
+  CHECK(published.exit == CliExit::kOutcomeUnknown);
+  CHECK(other.Requests().empty());
+}
+
+TEST_CASE(
+    "holds.not_run_is_true: a refusal does not cover an earlier attempt "
+    "without an answer") {
+  // Guards against "not run" about a request that another entry still runs.
+  FakeEntry silent(FakeEntry::Never());
+  FakeEntry refusing(
+      FakeEntry::Always(503, ProblemBody("log_unavailable", "no")));
+  const auto outcome = RunWords(RequestWords({silent.Url(), refusing.Url()}));
+  CHECK(outcome.exit == CliExit::kOutcomeUnknown);
+  CHECK(outcome.err.find(
+            "--key " + silent.Requests().at(0).headers.at("idempotency-key")) !=
+        std::string::npos);
+  CHECK(RunWords(RequestWords({refusing.Url()})).exit == CliExit::kNotRun);
+}
+
+TEST_CASE("problems become exit codes") {
+  // Guards against scripts that cannot tell a refusal from a failure.
+  const std::vector<std::tuple<int, std::string, std::string, CliExit>> cases =
+      {{409, "rules_conflict", "no", CliExit::kConflict},
+       {422, "rules_invalid", "no", CliExit::kInput},
+       {422, "quota_exceeded", "no", CliExit::kNotRun},
+       {502, "endpoint_failed", "unknown", CliExit::kOutcomeUnknown},
+       {502, "answer_truncated", "yes", CliExit::kFailed}};
+  for (const auto& [status, name, ran, exit] : cases) {
+    FakeEntry entry(FakeEntry::Always(status, ProblemBody(name, ran)));
+    const auto outcome = RunWords(RequestWords({entry.Url()}));
+    CHECK(outcome.exit == exit);
+    CHECK(outcome.err.find("Title: detail") != std::string::npos);
+  }
+  FakeEntry nonsense(FakeEntry::Always(200, "<html>"));
+  CHECK(RunWords(RequestWords({nonsense.Url()})).exit == CliExit::kInternal);
+}
+
+TEST_CASE("lists are fetched to the end and show why jobs wait") {
+  // Guards against a list that ends with its first page.
+  FakeEntry entry([](const auto& request) {
+    const bool first = !request.query.contains("after");
+    const json job = {{"job", first ? "j1" : "j2"},
+                      {"account", "acme"},
+                      {"queue_position", first ? 1 : 2},
+                      {"submitted_at_ms", 1'000},
+                      {"waiting_reason", "it waits for 2 whole racks"}};
+    const json page = {{"jobs", {job}}, {"next", first ? "c 1" : ""}};
+    return platform::HttpResponse{200, page.dump(), "application/json", {}};
+  });
+  const auto outcome =
+      RunWords({"-e", entry.Url(), "queue", "--account", "acme"});
+  CHECK(outcome.exit == CliExit::kOk);
+  CHECK(outcome.out ==
+        "JOB  ACCOUNT  CLASS  KIND  PLACE  SUBMITTED             "
+        "WHY IT WAITS\n"
+        "j1   acme     -      -     1      1970-01-01T00:00:01Z  "
+        "it waits for 2 whole racks\n"
+        "j2   acme     -      -     2      1970-01-01T00:00:01Z  "
+        "it waits for 2 whole racks\n");
+  CHECK(entry.Requests().at(0).query.at("state") == "queued");
+  CHECK(entry.Requests().at(1).query.at("after") == "c 1");
+  const auto as_json = RunWords({"-e", entry.Url(), "--json", "queue"});
+  CHECK(json::parse(as_json.out)["jobs"].size() == 2);
+}
+
+TEST_CASE("a job is built from a file and options, and waited for") {
+  // Guards against options that do not override the file, and against an exit
+  // code that does not tell how the job ended.
+  std::string state = "succeeded";
+  FakeEntry entry([&](const auto& request) {
+    const bool submitted = request.method == "POST";
+    const json job = {{"job", "j1"},
+                      {"account", "acme"},
+                      {"state", submitted ? "queued" : state},
+                      {"ended_at_ms", submitted ? 0 : 5}};
+    return platform::HttpResponse{200, job.dump(), "application/json", {}};
+  });
+  const TemporaryFile file(
+      R"({"account":"acme","class":"batch","kind":"train","members":2})");
+  const Words words = {"-e",      entry.Url(), "submit", "--file",
+                       file.path, "--members", "4",      "--cores",
+                       "2.5",     "--key",     "k1",     "--wait"};
+  const auto outcome = RunWords(words);
+  CHECK(outcome.exit == CliExit::kOk);
+  CHECK(outcome.out == "job j1 of acme is succeeded\n");
+  const auto request = entry.Requests().at(0);
+  CHECK(request.headers.at("idempotency-key") == "k1");
+  const auto body = json::parse(request.body);
+  CHECK(body["members"] == 4);
+  CHECK(body["cores"] == 2.5);
+  CHECK(body["idempotent"] == false);
+  state = "failed";
+  CHECK(RunWords(words).exit == CliExit::kFailed);
+  state = "outcome_unknown";
+  CHECK(RunWords(words).exit == CliExit::kOutcomeUnknown);
+}
+
+TEST_CASE("one sentence says why a job waits") {
+  // Guards against a status that leaves the operator guessing.
+  CHECK(JobSentence({{"job", "j"},
+                     {"account", "a"},
+                     {"state", "queued"},
+                     {"queue_position", 3},
+                     {"waiting_reason", "quota of 48 is used up"}}) ==
+        "job j of a is queued at place 3: quota of 48 is used up");
+  CHECK(JobSentence({{"job", "j"}, {"account", "a"}, {"state", "queued"}}) ==
+        "job j of a is queued: it waits for the next run of the planner");
+  CHECK(JobSentence({{"job", "j"},
+                     {"account", "a"},
+                     {"state", "running"},
+                     {"workers", {"w1", "w2"}}}) ==
+        "job j of a is running on w1 w2");
+}
+
+TEST_CASE("rules are published on the version that was compared") {
+  // Guards against an operator who overwrites rules that he has not seen.
+  FakeEntry entry([](const auto& request) {
+    const json body = request.path == "/v1/rules"
+                          ? json{{"version", 8}}
+                          : json{{"valid", true},
+                                 {"version_in_force", 7},
+                                 {"diff", "+account b"}};
+    return platform::HttpResponse{200, body.dump(), "application/json", {}};
+  });
+  const TemporaryFile rules("account b\n");
+  const auto outcome =
+      RunWords({"-e", entry.Url(), "rules", "publish", rules.path});
+  CHECK(outcome.exit == CliExit::kOk);
+  CHECK(outcome.out == "+account b\nversion 8 is in force\n");
+  const auto body = json::parse(entry.Requests().at(1).body);
+  CHECK(body["base_version"] == 7);
+  CHECK(body["text"] == "account b\n");
+  CHECK(RunWords({"rules", "check", "/nonexistent"}).exit == CliExit::kInput);
+}
+
+TEST_CASE("a drain says how the worker is now") {
+  // Guards against an answer that is taken for the wish.
+  FakeEntry entry(
+      FakeEntry::Always(200, R"({"worker":"w1","state":"draining"})"));
+  const auto outcome =
+      RunWords({"-e", entry.Url(), "drain", "w1", "--reason", "fan is broken"});
+  CHECK(outcome.out == "worker w1 is draining\n");
+  const auto request = entry.Requests().at(0);
+  CHECK(request.path == "/v1/workers/w1/drain");
+  CHECK(json::parse(request.body)["reason"] == "fan is broken");
+}
+
+TEST_CASE("settings are checked without an entry") {
+  // Guards against a wrong file that is found only at the start of the daemon.
+  const TemporaryFile wrong("{\"role\": \"entry\",\n\"other\": 1}");
+  const auto outcome = RunWords({"settings", "check", wrong.path});
+  CHECK(outcome.exit == CliExit::kInput);
+  CHECK(outcome.err.find(wrong.path + ":2: other: this key is not known") !=
+        std::string::npos);
+}
+
+TEST_CASE("text from elsewhere cannot steer the terminal") {
+  // Guards against escape sequences in names, reasons and rules.
+  CHECK(FieldText({{"a", "x\033[2Jy\n"}}, "a") == "x [2Jy ");
+  CHECK(FieldText({{"a", ""}}, "a") == "-");
+  CHECK(FieldText({}, "a") == "-");
+  CHECK(FieldText({{"a", true}}, "a") == "yes");
+}
+
+TEST_CASE("completion and manual pages name all commands and options") {
+  // Guards against pages that describe another program.
+  const std::string completion = ReadAll("completion/carobrill.bash");
+  const std::string manual = ReadAll("man/carobrill.1");
+  const auto escaped = [](std::string_view text) {
+    std::string result;
+    for (const char c : text) {
+      result += c == '-' ? "\\-" : std::string(1, c);
+    }
+    return result;
+  };
+  for (const auto& command : AllCommands()) {
+    CHECK_MESSAGE(completion.find(command.name) != std::string::npos,
+                  command.name);
+    CHECK_MESSAGE(manual.find(escaped(command.name)) != std::string::npos,
+                  command.name);
+    for (const auto& option : command.options) {
+      const auto name = "--" + std::string(option.name);
+      CHECK_MESSAGE(completion.find(name) != std::string::npos, name);
+      CHECK_MESSAGE(manual.find(escaped(name)) != std::string::npos, name);
+    }
+  }
+  for (const auto& option : GlobalOptions()) {
+    const auto name = "--" + std::string(option.name);
+    CHECK(completion.find(name) != std::string::npos);
+    CHECK(manual.find(escaped(name)) != std::string::npos);
+  }
+}
+
+TEST_CASE("docs/operations/exit-codes.md names all exit codes") {
+  // Guards against a page that scripts cannot rely on.
+  const std::string page = ReadAll("docs/operations/exit-codes.md");
+  for (const auto& [code, meaning] : NamesOf(CliExit{}).entries) {
+    const std::string row = "| " + std::to_string(static_cast<int>(code)) +
+                            " | " + std::string(meaning) + " |";
+    CHECK_MESSAGE(page.find(row) != std::string::npos, row);
+  }
+}
+
+}  // namespace
+}  // namespace carobrill::cli
--- /dev/null
+++ b/tests/cli/fake_entry.h
@@ -0,0 +1,72 @@
+#ifndef TESTS_CLI_FAKE_ENTRY_H_
+#define TESTS_CLI_FAKE_ENTRY_H_
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "packages/platform/http_server.h"
+
+namespace carobrill::cli {
+
+/// An entry whose answers a test scripts. Requests without an answer are kept
+/// open.
+class FakeEntry {
+ public:
+  using Script = std::function<std::optional<platform::HttpResponse>(
+      const platform::HttpRequest&)>;
+
+  explicit FakeEntry(Script script)
+      : script(std::move(script)),
+        server(task,
+               [this](const auto& request, auto respond) {
+                 const std::lock_guard lock(this->mutex);
+                 this->requests.push_back(request);
+                 if (auto response = this->script(request)) {
+                   respond(std::move(*response));
+                 } else {
+                   this->open.push_back(std::move(respond));
+                 }
+               }),
+        port(server.Listen("127.0.0.1", 0).value()) {}
+
+  ~FakeEntry() {
+    this->task.Run([this] { this->open.clear(); });
+  }
+
+  /// Answers every request with one response.
+  static Script Always(int status, const std::string& body) {
+    return [=](const auto&) {
+      return platform::HttpResponse{status, body, "application/json", {}};
+    };
+  }
+
+  /// Answers no request.
+  static Script Never() {
+    return [](const auto&) { return std::nullopt; };
+  }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(this->port);
+  }
+
+  std::vector<platform::HttpRequest> Requests() {
+    const std::lock_guard lock(this->mutex);
+    return this->requests;
+  }
+
+ private:
+  Script script;
+  std::mutex mutex;
+  std::vector<platform::HttpRequest> requests;
+  std::vector<platform::HttpResponder> open;
+  Task task{"entry"};
+  platform::HttpServer server;
+  std::uint16_t port;
+};
+
+}  // namespace carobrill::cli
+
+#endif  // TESTS_CLI_FAKE_ENTRY_H_
