--- /dev/null
+++ b/packages/scheduling/cluster.h
@@ -0,0 +1,321 @@
+#ifndef PACKAGES_SCHEDULING_CLUSTER_H_
+#define PACKAGES_SCHEDULING_CLUSTER_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "packages/core/ids.h"
+#include "packages/core/time.h"
+#include "packages/records/foldable.h"
+#include "packages/records/records.pb.h"
+#include "packages/records/verdict.h"
+#include "packages/scheduling/board.h"
+#include "packages/scheduling/charts.h"
+#include "packages/scheduling/job.h"
+#include "packages/scheduling/policy.h"
+#include "packages/scheduling/worker.h"
+
+namespace carobrill::scheduling {
+
+/// Limits of the fold. Every replica must use the same values.
+struct ClusterSettings {
+  std::int64_t ended_retention_ms = 24LL * 3600 * 1000;
+  std::uint32_t max_members = 64;
+  std::uint32_t max_failures = 3;
+  std::int64_t quarantine_ms = 30'000;
+  std::int64_t max_quarantine_ms = 3'600'000;
+  /// Retries are paid from a budget that each placement refills by
+  /// `retry_permille`, up to `retry_burst` plus what 1,000 placements earn.
+  std::int64_t retry_burst = 10;
+  std::int64_t retry_permille = 100;
+  /// A corrected size that differs by less changes nothing.
+  std::uint32_t size_hysteresis_permille = 100;
+  /// Learned entries kept; the one untouched for longest is dropped.
+  std::uint32_t max_learned = 4096;
+
+  /// True when every limit is in its range.
+  bool Valid() const;
+};
+
+/// What was learned of the jobs of one account and kind.
+struct Learned {
+  /// Mean of actual over declared run time; 1000 when nothing is known.
+  std::int64_t run_permille = 1000;
+  std::int64_t samples = 0;
+  /// Zero when nothing is known.
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+  Instant touched;
+};
+
+/// Accelerators of one account, for operators.
+struct AccountStatus {
+  AccountId account;
+  std::uint32_t guaranteed = 0;
+  std::uint32_t in_use = 0;
+  std::uint32_t borrowed = 0;
+  /// Part of the guarantee that is not in use and can be claimed now.
+  std::uint32_t reclaimable = 0;
+  /// Part of the guarantee that the available hardware cannot hold.
+  std::uint32_t at_risk = 0;
+  std::optional<std::uint32_t> quota;
+  std::uint32_t waiting_jobs = 0;
+};
+
+/// Why a job waits. The comment names what `WaitingStatus` carries.
+enum class WaitingReason {
+  /// The job does not wait.
+  kNone,
+  /// Its account is no longer in the rules.
+  kAccountRemoved,
+  /// `needed` accelerators would exceed the quota; `available` remain.
+  kOverQuota,
+  /// No worker is ready.
+  kNoWorkerReady,
+  /// `needed` cells of `cell` accelerators; only `available` are free.
+  kNoFreeCells,
+  /// Enough cells are free, but not adjacent: at most `available` together.
+  kNotAdjacent,
+  /// The job may not be preempted and the unused guarantee is too small.
+  kGuaranteeInUse,
+  /// Cells suffice; `ahead` jobs of its class were submitted earlier.
+  kBehindOthers,
+  /// Placed, and waiting until `needed` victims have stopped.
+  kVictimsStopping,
+};
+
+constexpr auto NamesOf(WaitingReason) {
+  return MakeNameTable<WaitingReason>({
+      {WaitingReason::kNone, "none"},
+      {WaitingReason::kAccountRemoved, "account_removed"},
+      {WaitingReason::kOverQuota, "over_quota"},
+      {WaitingReason::kNoWorkerReady, "no_worker_ready"},
+      {WaitingReason::kNoFreeCells, "no_free_cells"},
+      {WaitingReason::kNotAdjacent, "not_adjacent"},
+      {WaitingReason::kGuaranteeInUse, "guarantee_in_use"},
+      {WaitingReason::kBehindOthers, "behind_others"},
+      {WaitingReason::kVictimsStopping, "victims_stopping"},
+  });
+}
+
+/// The single most specific reason why a job waits.
+struct WaitingStatus {
+  WaitingReason reason = WaitingReason::kNone;
+  std::uint32_t needed = 0;
+  std::uint32_t available = 0;
+  std::uint32_t cell = 0;
+  std::uint32_t ahead = 0;
+};
+
+/// One sentence for an operator.
+std::string Describe(const WaitingStatus& status);
+
+/// What decides where a job fits; queued jobs with equal demands are kept
+/// together, so that the planner tries each demand once.
+struct Demand {
+  std::uint32_t members = 0;
+  MemberSize size;
+  records::Adjacency adjacency = records::ADJACENCY_NONE;
+  bool preemptible = false;
+
+  auto operator<=>(const Demand&) const = default;
+};
+
+/// Position within a queue: `order_ms` is one hour after the submission, or the
+/// latest start that meets the deadline when that is earlier.
+struct QueueEntry {
+  std::int64_t order_ms = 0;
+  Offset submitted_offset = 0;
+  JobId job;
+
+  auto operator<=>(const QueueEntry&) const = default;
+};
+
+/// Queued jobs of one class and account with one demand.
+struct QueueKey {
+  records::JobClass job_class = records::JOB_CLASS_NORMAL;
+  AccountId account;
+  Demand demand;
+
+  auto operator<=>(const QueueKey&) const = default;
+};
+
+using JobQueue = std::map<QueueKey, std::set<QueueEntry>>;
+
+/// Jobs in the order of the start of their state.
+using SinceIndex = std::set<std::pair<Instant, JobId>>;
+
+/// The part of the fold that knows workers, cells, jobs and gangs.
+class Cluster {
+ public:
+  explicit Cluster(Charts charts, ClusterSettings settings = {});
+
+  /// Applies one record; log time never goes back.
+  records::Verdict Apply(const records::Record& record,
+                         Offset offset,
+                         Instant appended_at);
+  void Save(records::Snapshot& snapshot) const;
+  bool Load(const records::Snapshot& snapshot);
+  std::uint64_t Hash() const;
+
+  /// kBreaksGuarantee when the hardware, declared or else registered, could
+  /// never hold all guarantees; kMalformed for a cell that is no power of two.
+  records::Verdict CheckPolicy(const Policy& checked) const;
+  /// Replaces the policy; running work is measured against the new guarantees.
+  void SetPolicy(const Policy& replacement, Instant appended_at);
+  const Policy& CurrentPolicy() const { return this->policy; }
+
+  /// Highest append time of the records applied.
+  Instant LogTime() const { return this->log_time; }
+  const ClusterSettings& Settings() const { return this->settings; }
+
+  std::vector<AccountStatus> Accounts() const;
+  const std::map<WorkerId, Worker>& Workers() const { return this->workers; }
+  const std::map<JobId, Job>& Jobs() const { return this->jobs; }
+  const Job* FindJob(const JobId& id) const;
+  /// The job that was submitted with `key`, while it is retained.
+  const Job* FindByKey(const AccountId& account, const std::string& key) const;
+  WaitingStatus WhyWaiting(const JobId& id) const;
+
+  /// Declared size with learned cores and memory in place of declared ones.
+  MemberSize EffectiveSize(const records::JobSpec& spec) const;
+  /// Declared run time corrected by what was learned.
+  std::int64_t EstimatedRunMs(const records::JobSpec& spec) const;
+  const Learned* FindLearned(const AccountId& account,
+                             const std::string& kind) const;
+  /// Retries that the budget still allows.
+  std::int64_t RetriesLeft() const { return this->retry_milli / 1000; }
+
+  /// For the planner.
+  const Board& GetBoard() const { return this->board; }
+  const JobQueue& Queue() const { return this->queue; }
+  const SinceIndex& InState(JobState state) const;
+  /// Workers that are not ready, or whose failures call for quarantine.
+  const std::set<WorkerId>& WorkersToWatch() const { return this->watch; }
+  std::uint32_t InUse(const AccountId& account) const;
+  std::optional<WorkerIndex> IndexOf(const WorkerId& worker) const;
+  const WorkerId& WorkerAt(WorkerIndex index) const {
+    return this->worker_names[index];
+  }
+  JobHandle HandleOf(const JobId& job) const;
+  const JobId& JobAt(JobHandle handle) const {
+    return this->handle_jobs[handle];
+  }
+  AccountIndex AccountIndexOf(const AccountId& account) const;
+  /// True when the drain rule or the state keeps new work away.
+  bool IsDraining(const Worker& worker) const;
+
+ private:
+  using Verdict = records::Verdict;
+  struct Usage {
+    std::uint32_t in_use = 0;
+    std::uint32_t borrowed = 0;
+  };
+  using KindKey = std::pair<AccountId, std::string>;
+
+  Verdict Fold(const records::WorkerRegistered& body);
+  Verdict Fold(const records::WorkerStateChanged& body);
+  Verdict Fold(const records::JobSubmitted& body, Offset offset);
+  Verdict Fold(const records::JobCancelled& body);
+  Verdict Fold(const records::GangPlaced& body);
+  Verdict Fold(const records::GangReleased& body);
+  Verdict Fold(const records::GangStartCommitted& body);
+  Verdict Fold(const records::GangStarted& body);
+  Verdict Fold(const records::GangStopRequested& body);
+  Verdict Fold(const records::GangEnded& body);
+  Verdict Fold(const records::SizeCorrected& body);
+
+  // Submission.
+  Verdict CheckSpec(const records::JobSpec& spec) const;
+  bool CouldEverRun(const records::JobSpec& spec) const;
+  bool FitsShape(const records::JobSpec& spec) const;
+
+  // Placement.
+  Verdict CheckMembers(const Job& job, const records::GangPlaced& body) const;
+  Verdict CheckAdjacency(const Job& job, const records::GangPlaced& body) const;
+  Verdict CheckVictims(const Job& job, const records::GangPlaced& body) const;
+  std::vector<Cell> CellsOf(const Job& job) const;
+
+  // Transitions.
+  Job* MutableJob(const std::string& id,
+                  std::uint32_t attempt,
+                  Verdict& verdict);
+  bool Step(Job& job, JobEvent event);
+  bool Step(Worker& worker, WorkerEvent event);
+  void Enqueue(Job& job);
+  void Dequeue(const Job& job);
+  QueueKey QueueKeyOf(const Job& job) const;
+  QueueEntry QueueEntryOf(const Job& job) const;
+  void ReleaseCells(Job& job);
+  void ReturnToQueue(Job& job, EndReason reason);
+  void BeginStopping(Job& job, JobEvent event, EndReason reason);
+  void Finish(Job& job, JobEvent event, EndReason reason);
+  void StopGangsOn(Worker& worker);
+  void EndStopped(Job& job);
+  void EndFailed(Job& job, const records::GangEnded& body);
+  void EndLapsed(Job& job);
+  void RecordFailures(Job& job, const records::GangEnded& body);
+  void RecordSuccess(Job& job);
+  void LearnRunTime(const Job& job);
+  Learned& Touch(const KindKey& key);
+  void AdvanceTo(Instant appended_at);
+  void PurgeEnded();
+  void PurgeLostWorkers();
+  void SetAvailability(const Worker& worker);
+  void Watch(const Worker& worker);
+  void SetReason(Job& job, EndReason reason);
+
+  // Derived state.
+  WorkerIndex AddToBoard(const Worker& worker);
+  BoardWorker BoardWorkerOf(const Worker& worker);
+  void AddAccounts();
+  std::vector<JobHandle> ApplyShapes();
+  void OccupyBoard(Job& job);
+  bool Rebuild();
+  template <typename Archive>
+  void VisitState(Archive& archive);
+
+  Charts charts;
+  ClusterSettings settings;
+
+  // The replicated state.
+  Instant log_time;
+  Policy policy;
+  std::map<WorkerId, Worker> workers;
+  std::map<JobId, Job> jobs;
+  std::map<KindKey, Learned> learned;
+  std::int64_t retry_milli = 0;
+
+  // Derived from the replicated state.
+  Board board;
+  std::vector<WorkerId> worker_names;
+  std::unordered_map<WorkerId, WorkerIndex> worker_indexes;
+  std::map<RackId, RackIndex> rack_indexes;
+  std::map<FailureDomainId, DomainIndex> domain_indexes;
+  std::vector<JobId> handle_jobs;
+  std::unordered_map<JobId, JobHandle> handles;
+  std::map<AccountId, AccountIndex> account_indexes;
+  std::map<AccountId, Usage> usage;
+  std::map<std::pair<AccountId, std::string>, JobId> keys;
+  JobQueue queue;
+  std::map<KindKey, std::set<JobId>> queued_kinds;
+  std::map<AccountId, std::uint32_t> waiting;
+  std::map<JobState, SinceIndex> in_state;
+  SinceIndex ended;
+  std::set<std::pair<Instant, KindKey>> learned_order;
+  std::map<JobId, std::set<JobId>> claimants;
+  std::set<WorkerId> watch;
+};
+
+static_assert(records::Foldable<Cluster>);
+
+}  // namespace carobrill::scheduling
+
+#endif  // PACKAGES_SCHEDULING_CLUSTER_H_
