--- a/packages/scheduling/board.h
+++ b/packages/scheduling/board.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <vector>
 
+#include "packages/core/time.h"
 #include "packages/records/records.pb.h"
 #include "packages/records/verdict.h"
 #include "packages/scheduling/cell_index.h"
@@ -42,18 +43,32 @@
   auto operator<=>(const Cell&) const = default;
 };
 
+/// The shape cell that covers an accelerator, if any.
+struct SlotBinding {
+  AccountIndex account = kNoAccount;
+  /// kLevels stands for a whole rack.
+  std::uint8_t level = 0;
+  /// The cell counts against the account's shape. False for guaranteed work
+  /// that outlived a reduction of the shape.
+  bool in_shape = false;
+
+  bool operator==(const SlotBinding&) const = default;
+};
+
 /// One accelerator of a worker.
 struct Slot {
-  /// Job that has claimed it.
+  /// Job that has claimed it, or the stopping job that still occupies it.
   JobHandle holder = kNoJob;
   /// Stopping job that the holder waits for.
   JobHandle ending = kNoJob;
-  /// Account whose shape cell covers it, and the level of that cell.
-  AccountIndex bound_account = kNoAccount;
-  std::uint8_t bound_level = 0;
-  /// The cell counts against the account's shape. False for guaranteed work
-  /// that outlived a reduction of the shape.
-  bool bound_in_shape = false;
+  SlotBinding binding;
+};
+
+/// A gang that runs within its account's guarantee.
+struct GuaranteedWork {
+  JobHandle handle = kNoJob;
+  std::vector<Cell> cells;
+  bool preemptible = false;
 };
 
 /// Fixed data and availability of a worker.
@@ -89,7 +104,7 @@
 /// surplus at one level is split into two cells of the next. `racks` maps the
 /// number of top-level cells of a free whole rack to the number of such racks.
 LevelCounts CountUnmet(const LevelCounts& needs,
-                       const LevelCounts& free,
+                       const CellCounts& free,
                        const std::map<std::uint32_t, std::uint32_t>& racks,
                        std::uint32_t rack_level);
 
@@ -101,19 +116,28 @@
   Board();
 
   WorkerIndex AddWorker(const BoardWorker& worker);
-  /// Replaces the capacity of a worker that holds nothing.
-  void ReplaceWorker(WorkerIndex index, const BoardWorker& worker);
+  /// Removes a worker that holds nothing; its index is used again.
+  void RemoveWorker(WorkerIndex index);
   /// Sets whether a worker takes new gangs and counts for guarantees.
   void SetAvailability(WorkerIndex index, bool ready, bool probation);
 
   /// Adds an account; its shape is empty.
   AccountIndex AddAccount();
-  /// Replaces the shapes of all accounts and binds running guaranteed work
-  /// anew, in the order of `holders`. Work that no longer fits its shape
-  /// becomes borrowed when preemptible; returns the handles of these jobs.
+  /// Replaces the shapes of all accounts and binds guaranteed work anew, in the
+  /// order of `work`. Work that no longer fits its shape becomes borrowed when
+  /// preemptible; returns the handles of these jobs.
   std::vector<JobHandle> SetShapes(const std::vector<LevelCounts>& shapes,
-                                   const std::vector<JobHandle>& holders,
-                                   const std::vector<bool>& preemptible);
+                                   const std::vector<GuaranteedWork>& work);
+  /// Sets the shapes without bindings, which RestoreBinding then adds.
+  void RestoreShapes(const std::vector<LevelCounts>& shapes);
+  /// Restores the binding of one accelerator from a snapshot; called for all
+  /// accelerators, then FinishRestore once.
+  void RestoreBinding(WorkerIndex worker,
+                      std::uint32_t at,
+                      const SlotBinding& binding);
+  void FinishRestore();
+  /// Restores that `handle` claims `cell`, over the job restored there before.
+  void RestoreOccupant(const Cell& cell, JobHandle handle);
   /// Declares the size of a whole rack; 0 derives it from the workers.
   void SetStandardRack(std::uint32_t workers, std::uint32_t accelerators);
 
@@ -125,9 +149,11 @@
   void SetEstimatedEnd(JobHandle handle, Instant estimated_end) {
     this->holders[handle].estimated_end = estimated_end;
   }
-  void SetCommitted(JobHandle handle);
+  void SetCommitted(JobHandle handle) {
+    this->holders[handle].committed = true;
+  }
   /// A stopping job's cells may be claimed by others.
-  void SetStopping(JobHandle handle);
+  void SetStopping(JobHandle handle, std::span<const Cell> cells);
 
   /// Claims `cells` for `handle`, over the cells of `victims` where they are in
   /// the way. A victim that is not committed must be vacated by the caller
@@ -173,40 +199,53 @@
   /// Shape cells of `account` that are unbound or bound to unavailable
   /// hardware, by level.
   LevelCounts OpenShape(AccountIndex account) const;
-  /// Unmet needs if the needs were `needs` and nothing were bound.
-  LevelCounts UnmetFor(const LevelCounts& needs) const;
-  /// True when the reclaim counters equal a recount; for assertions.
-  bool CountersConsistent() const;
+  /// Unmet needs if all registered workers were available and unbound.
+  LevelCounts UnmetOnAllWorkers(const LevelCounts& wanted) const;
+  /// True when every accelerator of the rack is available and unbound.
+  bool IsWholeRack(RackIndex rack) const { return this->rack_whole[rack] != 0; }
+  /// Workers and accelerators per worker of a whole rack.
+  std::uint32_t RackWorkerCount() const { return this->rack_workers; }
+  std::uint32_t RackAccelerators() const { return 1U << this->rack_level; }
 
  private:
-  bool SlotTakeable(JobHandle handle) const;
-  Mask CellMask(const Cell& cell) const;
   bool CanClaim(const Slot& slot, std::span<const JobHandle> victims) const;
-  bool Bind(AccountIndex account, const Cell& cell);
-  bool BindAt(AccountIndex account, const Cell& cell, std::uint32_t level);
-  void BindSlots(AccountIndex account,
+  bool IsClaimable(const Slot& slot) const;
+  bool Bind(AccountIndex account, const Cell& cell, bool check_unmet);
+  bool TryBindAt(AccountIndex account,
                  const Cell& cell,
                  std::uint32_t level,
-                 bool in_shape);
-  void UnbindIfIdle(const Slot& bound, WorkerIndex worker, std::uint32_t at);
-  bool CellIsUnbound(const Cell& cell) const;
-  bool HoldsGuaranteed(const Cell& cell) const;
+                 bool check_unmet);
+  void SetBinding(std::span<const Cell> extent, const SlotBinding& binding);
+  void Unbind(WorkerIndex worker, std::uint32_t at);
+  void UnbindIfIdle(const Cell& cell);
+  /// The cells that a binding of `level` at `cell` extends over.
+  std::vector<Cell> Extent(const Cell& cell, std::uint32_t level) const;
+  bool IsUnbound(std::span<const Cell> extent) const;
+  bool HoldsGuaranteed(std::span<const Cell> extent,
+                       AccountIndex account) const;
   bool RackIsWhole(RackIndex rack) const;
-  /// The cells that the binding at (worker, accelerator) extends over.
-  std::vector<Cell> BoundExtent(WorkerIndex worker, std::uint32_t at) const;
+  /// Bound shape cells on `worker` or its rack that are not available.
+  LevelCounts DisplacedAt(WorkerIndex worker) const;
+  void AddDisplaced(WorkerIndex worker, std::uint32_t sign);
   void Refresh(WorkerIndex worker);
+  void RefreshRack(RackIndex rack);
   void RefreshUnmet();
   void DeriveStandardRack();
-  void CountDisplaced(WorkerIndex worker, int sign);
 
   std::vector<BoardWorker> workers;
+  std::vector<WorkerIndex> unused_workers;
   std::vector<std::array<Slot, kMaxAccelerators>> slots;
   std::vector<std::vector<WorkerIndex>> racks;
+  /// Number of top-level cells of each rack that is whole and unbound, else 0.
+  std::vector<std::uint32_t> rack_whole;
+  std::map<std::uint32_t, std::uint32_t> whole_racks;
   std::vector<Holder> holders;
   std::vector<JobHandle> unused_handles;
   std::vector<LevelCounts> unbound_shape;
   /// Sum of unbound_shape over accounts.
   LevelCounts needs{};
+  /// Shape cells bound to hardware that is not available.
+  LevelCounts displaced{};
   LevelCounts unmet{};
   std::uint32_t declared_rack_workers = 0;
   std::uint32_t declared_rack_accelerators = 0;
--- a/packages/scheduling/cell_index.h
+++ b/packages/scheduling/cell_index.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <bit>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "packages/scheduling/policy.h"
@@ -39,12 +40,25 @@
 /// First accelerator of each aligned cell of `count` within `mask`, as a mask.
 Mask AlignedCells(Mask mask, std::uint32_t count);
 
+/// First accelerator of an aligned cell of `count` within `mask`, taken from
+/// the smallest maximal cell that has one; nothing when there is none.
+std::optional<std::uint32_t> BestFit(Mask mask, std::uint32_t count);
+
 /// Counts and bitmaps of maximal cells, kept up to date one worker at a time.
 class CellIndex {
  public:
-  void AddWorker(RackIndex rack, DomainIndex domain);
+  /// Adds a worker without free accelerators.
+  void AddWorker();
+  /// Sets where a worker without free accelerators is.
+  void Locate(WorkerIndex worker, RackIndex rack, DomainIndex domain);
   void Set(WorkerIndex worker, Mask mask);
 
+  std::uint32_t RackCount() const {
+    return static_cast<std::uint32_t>(this->rack_counts.size());
+  }
+  std::uint32_t DomainCount() const {
+    return static_cast<std::uint32_t>(this->domain_counts.size());
+  }
   Mask Get(WorkerIndex worker) const { return this->masks[worker]; }
   const CellCounts& Total() const { return this->total; }
   const CellCounts& InRack(RackIndex rack) const {
--- a/packages/scheduling/cluster.h
+++ b/packages/scheduling/cluster.h
@@ -152,6 +152,15 @@
 /// Jobs in the order of the start of their state.
 using SinceIndex = std::set<std::pair<Instant, JobId>>;
 
+/// A binding of one accelerator, as a snapshot holds it.
+struct BindingEntry {
+  WorkerId worker;
+  std::uint32_t accelerator = 0;
+  AccountId account;
+  std::uint8_t level = 0;
+  bool in_shape = false;
+};
+
 /// The part of the fold that knows workers, cells, jobs and gangs.
 class Cluster {
  public:
@@ -200,6 +209,9 @@
   /// Workers that are not ready, or whose failures call for quarantine.
   const std::set<WorkerId>& WorkersToWatch() const { return this->watch; }
   std::uint32_t InUse(const AccountId& account) const;
+  std::uint32_t Borrowed(const AccountId& account) const;
+  /// Accelerators of the smallest cell of any known worker for `size`.
+  std::uint32_t SmallestCell(const MemberSize& size) const;
   std::optional<WorkerIndex> IndexOf(const WorkerId& worker) const;
   const WorkerId& WorkerAt(WorkerIndex index) const {
     return this->worker_names[index];
@@ -219,6 +231,10 @@
     std::uint32_t borrowed = 0;
   };
   using KindKey = std::pair<AccountId, std::string>;
+  /// Accelerators, cores and memory of a worker.
+  using Shape = MemberSize;
+  using ShapeCounts = std::map<Shape, std::uint32_t>;
+  friend struct ClusterState;
 
   Verdict Fold(const records::WorkerRegistered& body);
   Verdict Fold(const records::WorkerStateChanged& body);
@@ -236,51 +252,60 @@
   Verdict CheckSpec(const records::JobSpec& spec) const;
   bool CouldEverRun(const records::JobSpec& spec) const;
   bool FitsShape(const records::JobSpec& spec) const;
+  std::uint32_t MembersThatFit(const ShapeCounts& workers,
+                               const MemberSize& size) const;
+  std::uint32_t LargestScope(const records::JobSpec& spec) const;
 
   // Placement.
   Verdict CheckMembers(const Job& job, const records::GangPlaced& body) const;
   Verdict CheckAdjacency(const Job& job, const records::GangPlaced& body) const;
   Verdict CheckVictims(const Job& job, const records::GangPlaced& body) const;
+  void DisplaceVictims(const records::GangPlaced& body);
+  void RecordPendingVictims(Job& job, const std::vector<Cell>& cells);
   std::vector<Cell> CellsOf(const Job& job) const;
 
   // Transitions.
-  Job* MutableJob(const std::string& id,
-                  std::uint32_t attempt,
-                  Verdict& verdict);
+  Verdict Find(const std::string& id, std::uint32_t attempt, Job*& job);
   bool Step(Job& job, JobEvent event);
   bool Step(Worker& worker, WorkerEvent event);
+  void HoldInQuarantine(Worker& worker);
   void Enqueue(Job& job);
+  void EnqueueAt(Job& job, std::int64_t order_ms);
   void Dequeue(const Job& job);
   QueueKey QueueKeyOf(const Job& job) const;
   QueueEntry QueueEntryOf(const Job& job) const;
   void ReleaseCells(Job& job);
-  void ReturnToQueue(Job& job, EndReason reason);
+  void RestartWait(Job& claimant);
+  void ReturnToQueue(Job& job, JobEvent event, EndReason reason);
   void BeginStopping(Job& job, JobEvent event, EndReason reason);
   void Finish(Job& job, JobEvent event, EndReason reason);
   void StopGangsOn(Worker& worker);
   void EndStopped(Job& job);
   void EndFailed(Job& job, const records::GangEnded& body);
   void EndLapsed(Job& job);
-  void RecordFailures(Job& job, const records::GangEnded& body);
-  void RecordSuccess(Job& job);
+  void RecordFailures(const Job& job, const records::GangEnded& body);
+  void RecordSuccess(const Job& job);
   void LearnRunTime(const Job& job);
   Learned& Touch(const KindKey& key);
   void AdvanceTo(Instant appended_at);
   void PurgeEnded();
   void PurgeLostWorkers();
   void SetAvailability(const Worker& worker);
-  void Watch(const Worker& worker);
-  void SetReason(Job& job, EndReason reason);
+  void CountShape(const Worker& worker, bool add);
+  void Earn();
 
   // Derived state.
-  WorkerIndex AddToBoard(const Worker& worker);
-  BoardWorker BoardWorkerOf(const Worker& worker);
-  void AddAccounts();
-  std::vector<JobHandle> ApplyShapes();
-  void OccupyBoard(Job& job);
-  bool Rebuild();
-  template <typename Archive>
-  void VisitState(Archive& archive);
+  void AddToBoard(const Worker& worker);
+  void RemoveFromBoard(const Worker& worker);
+  AccountIndex AddAccount(const AccountId& account);
+  std::vector<LevelCounts> Shapes();
+  void SetStandardRack();
+  Holder HolderOf(const Job& job);
+  void AddUsage(const Job& job, int sign);
+  bool Valid() const;
+  bool Rebuild(const std::vector<BindingEntry>& bindings);
+  std::vector<BindingEntry> Bindings() const;
+  std::string Serialize() const;
 
   Charts charts;
   ClusterSettings settings;
@@ -310,8 +335,14 @@
   std::map<JobState, SinceIndex> in_state;
   SinceIndex ended;
   std::set<std::pair<Instant, KindKey>> learned_order;
+  std::unordered_map<JobId, QueueKey> queue_keys;
   std::map<JobId, std::set<JobId>> claimants;
   std::set<WorkerId> watch;
+  std::set<std::pair<Instant, WorkerId>> lost_workers;
+  ShapeCounts shapes;
+  std::map<RackId, ShapeCounts> rack_shapes;
+  std::map<ShapeCounts, std::uint32_t> rack_compositions;
+  std::map<FailureDomainId, ShapeCounts> domain_shapes;
 };
 
 static_assert(records::Foldable<Cluster>);
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -124,6 +124,8 @@
   Instant submitted_at;
   /// Offset of the submission, which breaks ties in order.
   Offset submitted_offset = 0;
+  /// Position in the queue, see QueueEntry.
+  std::int64_t order_ms = 0;
   std::uint32_t attempt = 1;
   std::vector<GangMember> members;
   bool borrowed = false;
@@ -131,8 +133,6 @@
   std::set<JobId> pending_victims;
   /// Set from the first committed start on; the job may have run.
   bool may_have_started = false;
-  /// Set while the current attempt may be running on its members.
-  bool attempt_committed = false;
   bool cancel_requested = false;
   EndReason reason = EndReason::kNone;
   /// Failed attempts, and the workers they failed on.
@@ -154,6 +154,11 @@
   return state >= JobState::kPlaced && state <= JobState::kStopping;
 }
 
+/// True when tasks of the job may be running.
+constexpr bool IsCommitted(JobState state) {
+  return state >= JobState::kStarting && state <= JobState::kStopping;
+}
+
 /// True when the job may be stopped to reclaim its cells. A non-idempotent job
 /// must be able to checkpoint, because its only run would otherwise be lost.
 inline bool IsPreemptible(const records::JobSpec& spec) {
--- a/packages/scheduling/planner.h
+++ b/packages/scheduling/planner.h
@@ -51,8 +51,8 @@
 
 /// What the planning entry knows besides the log.
 struct PlannerView {
-  /// Workers whose agent announced itself in time.
-  std::set<WorkerId> live_workers;
+  /// Workers whose agent has not announced itself in time.
+  std::set<WorkerId> dead_workers;
   std::vector<GangReport> reports;
   std::vector<UsageSample> usage;
 };
@@ -124,6 +124,7 @@
   };
 
   void LearnSizes(const Cluster& cluster, const PlannerView& view, Plan& plan);
+  void Correct(const Cluster& cluster, const Job& job, Plan& plan);
 
   PlannerSettings settings;
   std::map<std::pair<AccountId, std::string>, Window> windows;
--- /dev/null
+++ b/packages/scheduling/reservation.cc
@@ -0,0 +1,96 @@
+#include "packages/scheduling/reservation.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace carobrill::scheduling {
+
+namespace {
+
+struct TimedCell {
+  Instant free_at;
+  Cell cell;
+
+  auto operator<=>(const TimedCell&) const = default;
+};
+
+Instant FreeAt(const Board& board, const Cell& cell, Instant now) {
+  Instant latest = now;
+  for (std::uint32_t at = cell.first; at < cell.first + cell.count; ++at) {
+    const JobHandle holder = board.GetSlot(cell.worker, at).holder;
+    if (holder != kNoJob) {
+      latest = std::max(latest, ExpectedEnd(board.GetHolder(holder), now));
+    }
+  }
+  return latest;
+}
+
+/// The number that stands for the place within which a gang must be adjacent.
+std::uint32_t PlaceOf(const BoardWorker& data,
+                      WorkerIndex worker,
+                      records::Adjacency adjacency) {
+  switch (adjacency) {
+    case records::ADJACENCY_WORKER:
+      return worker;
+    case records::ADJACENCY_RACK:
+      return data.rack;
+    case records::ADJACENCY_FAILURE_DOMAIN:
+      return data.domain;
+    default:
+      return 0;
+  }
+}
+
+}  // namespace
+
+Instant ExpectedEnd(const Holder& holder, Instant now) {
+  if (holder.stopping) {
+    return now;
+  }
+  if (holder.estimated_end > now) {
+    return holder.estimated_end;
+  }
+  constexpr std::int64_t kLeastMs = 1000;
+  return now.After(std::max(kLeastMs, now.ms - holder.estimated_end.ms));
+}
+
+std::optional<Reservation> Reserve(const Board& board,
+                                   const Demand& demand,
+                                   Instant now) {
+  std::map<std::uint32_t, std::vector<TimedCell>> places;
+  for (WorkerIndex worker = 0; worker < board.WorkerCount(); ++worker) {
+    const BoardWorker& data = board.GetWorker(worker);
+    const std::uint32_t count = data.ready ? CellFor(data, demand.size) : 0;
+    for (std::uint32_t first = 0; count != 0 && first < data.accelerators;
+         first += count) {
+      const Cell cell{worker, first, count};
+      places[PlaceOf(data, worker, demand.adjacency)].push_back(
+          {FreeAt(board, cell, now), cell});
+    }
+  }
+  std::optional<Reservation> best;
+  std::vector<TimedCell>* best_cells = nullptr;
+  for (auto& [place, cells] : places) {
+    if (cells.size() < demand.members) {
+      continue;
+    }
+    const auto last = cells.begin() + (demand.members - 1);
+    std::nth_element(cells.begin(), last, cells.end());
+    if (!best.has_value() || last->free_at < best->free_at) {
+      best = Reservation{{}, last->free_at};
+      best_cells = &cells;
+    }
+  }
+  if (best.has_value()) {
+    best->masks.resize(board.WorkerCount(), 0);
+    for (std::uint32_t i = 0; i < demand.members; ++i) {
+      const Cell& cell = (*best_cells)[i].cell;
+      best->masks[cell.worker] |= MaskOf(cell.first, cell.count);
+    }
+  }
+  return best;
+}
+
+}  // namespace carobrill::scheduling
