Keep callbacks from running after the end of an HTTP client

Cause: the header promises that callbacks of calls in flight do not run any more after the client's end. The aborted calls still completed on the task's context and ran them, with references to owners that had ended.

Ruled out: waiting for the aborted calls in the destructor, which may run on the task that would have to complete them.

Conclusion: a flag that client and calls share, set on the task.

--- a/packages/platform/http_client.cc
+++ b/packages/platform/http_client.cc
@@ -18,6 +18,8 @@
   GCancellable* cancellable = nullptr;
   GSource* timer = nullptr;
   bool timed_out = false;
+  /// Set by the client's end; used on its task only.
+  std::shared_ptr<bool> closed;
 };
 
 gboolean OnDeadline(gpointer data) {
@@ -65,7 +67,9 @@
   }
   g_object_unref(pending->message);
   g_object_unref(pending->cancellable);
-  pending->callback(std::move(reply));
+  if (!*pending->closed) {
+    pending->callback(std::move(reply));
+  }
 }
 
 void SetBody(SoupMessage* message, const HttpCall& call) {
@@ -100,6 +104,7 @@
 
 HttpClient::~HttpClient() {
   const auto close = [this] {
+    *this->closed = true;
     soup_session_abort(this->session);
     g_object_unref(this->session);
   };
@@ -144,8 +149,9 @@
                                  name.c_str(), value.c_str());
   }
   SetBody(message, call);
-  auto* pending = new PendingCall{std::move(callback), message,
-                                  g_cancellable_new(), nullptr, false};
+  auto* pending = new PendingCall{
+      std::move(callback), message, g_cancellable_new(), nullptr, false,
+      this->closed};
   StartTimer(pending, call.deadline, this->task.Context());
   soup_session_send_and_read_async(this->session, message, G_PRIORITY_DEFAULT,
                                    pending->cancellable, OnReply, pending);
--- a/packages/platform/http_client.h
+++ b/packages/platform/http_client.h
@@ -2,6 +2,7 @@
 #define PACKAGES_PLATFORM_HTTP_CLIENT_H_
 
 #include <functional>
+#include <memory>
 
 #include "packages/core/task.h"
 #include "packages/platform/http_types.h"
@@ -35,6 +36,7 @@
 
   Task& task;
   SoupSession* session = nullptr;
+  std::shared_ptr<bool> closed = std::make_shared<bool>(false);
 };
 
 }  // namespace carobrill::platform
--- /dev/null
+++ b/tests/platform/http_client_test.cc
@@ -0,0 +1,43 @@
+#include "packages/platform/http_client.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+#include "packages/platform/http_server.h"
+
+namespace carobrill::platform {
+namespace {
+
+// Guards against a callback that refers to an owner which has ended.
+TEST_CASE("a client that ends runs no callback of a call in flight") {
+  Task server_task("server");
+  Task client_task("client");
+  std::vector<HttpResponder> kept;
+  std::atomic<int> received = 0;
+  HttpServer server(server_task,
+                    [&](const HttpRequest&, HttpResponder respond) {
+                      kept.push_back(std::move(respond));
+                      ++received;
+                    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  auto client = std::make_unique<HttpClient>(client_task);
+  std::atomic<int> called = 0;
+  HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(*port) + "/";
+  client->Send(call, [&](const HttpReply&) { ++called; });
+  while (received == 0) {
+    g_usleep(1000);
+  }
+  client.reset();
+  g_usleep(100'000);
+  client_task.Run([] {});
+  CHECK(called == 0);
+  server_task.Run([&] { kept.clear(); });
+}
+
+}  // namespace
+}  // namespace carobrill::platform
