--- /dev/null
+++ b/packages/platform/worker_client.cc
@@ -0,0 +1,226 @@
+#include "packages/platform/worker_client.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace carobrill::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr double kMilli = 1000.0;
+constexpr double kMostMilli = 1e9;
+
+// The protocol gives cores as a number that may have a fraction.
+std::optional<std::uint32_t> Milli(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number()) {
+    return std::nullopt;
+  }
+  const double milli = std::round(found->get<double>() * kMilli);
+  if (!(milli >= 0 && milli <= kMostMilli)) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint32_t>(milli);
+}
+
+std::optional<std::uint32_t> Count(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number_unsigned() ||
+      found->get<std::uint64_t>() > UINT32_MAX) {
+    return std::nullopt;
+  }
+  return found->get<std::uint32_t>();
+}
+
+std::string Text(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  return found != json.end() && found->is_string() ? found->get<std::string>()
+                                                   : std::string();
+}
+
+std::optional<WorkerDescription> ParseDescription(const std::string& body) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto cores = Milli(json, "cores");
+  const auto memory = Count(json, "memory_mb");
+  const auto accelerators = Count(json, "accelerators");
+  if (!cores || !memory || !accelerators) {
+    return std::nullopt;
+  }
+  return WorkerDescription{Text(json, "worker"), *cores, *memory,
+                           *accelerators};
+}
+
+// A usage that is not as the protocol says is left out; the state counts.
+void ParseUsage(const Json& json, WorkerTask& task) {
+  const auto usage = json.find("usage");
+  if (usage == json.end() || !usage->is_object()) {
+    return;
+  }
+  const auto cores = Milli(*usage, "cores");
+  const auto memory = Count(*usage, "memory_mb");
+  const auto age = Count(*usage, "age_ms");
+  if (!cores || !memory || !age) {
+    return;
+  }
+  task.has_usage = true;
+  task.cores_milli = *cores;
+  task.memory_mb = *memory;
+  task.usage_age_ms = *age;
+}
+
+std::optional<WorkerTask> ParseTask(const Json& json) {
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto state = FindByName<WorkerTaskState>(Text(json, "state"));
+  if (!state.has_value()) {
+    return std::nullopt;
+  }
+  WorkerTask task;
+  task.task = Text(json, "task");
+  task.state = *state;
+  task.checkpoint = Text(json, "checkpoint");
+  ParseUsage(json, task);
+  return task;
+}
+
+// The list is a bare array or {"tasks": [..]}. One task that cannot be read
+// makes the whole list useless: taking it as missing would end its member.
+std::optional<std::vector<WorkerTask>> ParseList(const std::string& body) {
+  Json json = Json::parse(body, nullptr, false);
+  if (json.is_object() && json.contains("tasks")) {
+    json = Json(json["tasks"]);
+  }
+  if (!json.is_array()) {
+    return std::nullopt;
+  }
+  std::vector<WorkerTask> tasks;
+  for (const auto& item : json) {
+    auto task = ParseTask(item);
+    if (!task.has_value()) {
+      return std::nullopt;
+    }
+    tasks.push_back(std::move(*task));
+  }
+  return tasks;
+}
+
+template <typename T, typename Parse>
+HttpClient::Callback Parsed(PlatformCallback<T> callback, Parse parse) {
+  return [callback = std::move(callback), parse](const HttpReply& reply) {
+    PlatformReply<T> result;
+    result.failure = FailureOf(reply);
+    if (result.Ok()) {
+      auto value = parse(reply.body);
+      if (value.has_value()) {
+        result.value = std::move(*value);
+      } else {
+        result.failure = PlatformFailure::kMalformed;
+      }
+    }
+    callback(std::move(result));
+  };
+}
+
+HttpCall Get(std::string url, Instant deadline) {
+  HttpCall call;
+  call.url = std::move(url);
+  call.deadline = deadline;
+  return call;
+}
+
+}  // namespace
+
+WorkerClient::WorkerClient(HttpClient& http, std::string url)
+    : http(http), url(std::move(url)) {}
+
+void WorkerClient::Describe(Instant deadline,
+                            PlatformCallback<WorkerDescription> callback) {
+  this->http.Send(Get(this->url + "/v1/worker", deadline),
+                  Parsed(std::move(callback), ParseDescription));
+}
+
+void WorkerClient::Start(const WorkerTaskSpec& spec,
+                         Instant deadline,
+                         PlatformCallback<Done> callback) {
+  Json json = {{"task", spec.task},
+               {"lease_ms", spec.lease_ms},
+               {"cores", spec.cores_milli / kMilli},
+               {"memory_mb", spec.memory_mb},
+               {"accelerators", spec.accelerators},
+               {"run_ms", spec.run_ms},
+               {"payload", spec.payload}};
+  if (!spec.checkpoint.empty()) {
+    json["checkpoint"] = spec.checkpoint;
+  }
+  this->Post("/v1/tasks",
+             json.dump(-1, ' ', false, Json::error_handler_t::replace),
+             deadline, std::move(callback));
+}
+
+void WorkerClient::RenewLease(const std::string& task,
+                              std::int64_t lease_ms,
+                              Instant deadline,
+                              PlatformCallback<Done> callback) {
+  this->PostToTask(task, "lease", Json{{"lease_ms", lease_ms}}.dump(), deadline,
+                   std::move(callback));
+}
+
+void WorkerClient::Stop(const std::string& task,
+                        Instant deadline,
+                        PlatformCallback<Done> callback) {
+  this->PostToTask(task, "stop", "{}", deadline, std::move(callback));
+}
+
+void WorkerClient::Checkpoint(const std::string& task,
+                              Instant deadline,
+                              PlatformCallback<Done> callback) {
+  this->PostToTask(task, "checkpoint", "{}", deadline, std::move(callback));
+}
+
+void WorkerClient::Throttle(const std::string& task,
+                            std::uint32_t share_permille,
+                            Instant deadline,
+                            PlatformCallback<Done> callback) {
+  this->PostToTask(task, "throttle",
+                   Json{{"share", share_permille / kMilli}}.dump(), deadline,
+                   std::move(callback));
+}
+
+void WorkerClient::List(Instant deadline,
+                        PlatformCallback<std::vector<WorkerTask>> callback) {
+  this->http.Send(Get(this->url + "/v1/tasks", deadline),
+                  Parsed(std::move(callback), ParseList));
+}
+
+void WorkerClient::Post(const std::string& path,
+                        std::string body,
+                        Instant deadline,
+                        PlatformCallback<Done> callback) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = this->url + path;
+  call.body = std::move(body);
+  call.deadline = deadline;
+  this->http.Send(std::move(call),
+                  Parsed(std::move(callback), [](const std::string&) {
+                    return std::optional<Done>(Done{});
+                  }));
+}
+
+void WorkerClient::PostToTask(const std::string& task,
+                              const std::string& verb,
+                              std::string body,
+                              Instant deadline,
+                              PlatformCallback<Done> callback) {
+  this->Post("/v1/tasks/" + EscapePathSegment(task) + "/" + verb,
+             std::move(body), deadline, std::move(callback));
+}
+
+}  // namespace carobrill::platform
--- /dev/null
+++ b/packages/platform/worker_client.h
@@ -0,0 +1,112 @@
+#ifndef PACKAGES_PLATFORM_WORKER_CLIENT_H_
+#define PACKAGES_PLATFORM_WORKER_CLIENT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "packages/core/name_table.h"
+#include "packages/core/time.h"
+#include "packages/platform/http_client.h"
+#include "packages/platform/platform_reply.h"
+
+namespace carobrill::platform {
+
+/// What a worker says about itself.
+struct WorkerDescription {
+  std::string worker;
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+};
+
+/// A task to be started.
+struct WorkerTaskSpec {
+  std::string task;
+  std::int64_t lease_ms = 0;
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+  std::vector<std::uint32_t> accelerators;
+  std::int64_t run_ms = 0;
+  std::string payload;
+  /// Where an earlier run left off; left out of the call when empty.
+  std::string checkpoint;
+};
+
+/// State of a task at the worker.
+enum class WorkerTaskState {
+  kRunning,
+  kSucceeded,
+  kFailed,
+  kStopped,
+  kLapsed,
+};
+
+constexpr auto NamesOf(WorkerTaskState) {
+  return MakeNameTable<WorkerTaskState>({
+      {WorkerTaskState::kRunning, "running"},
+      {WorkerTaskState::kSucceeded, "succeeded"},
+      {WorkerTaskState::kFailed, "failed"},
+      {WorkerTaskState::kStopped, "stopped"},
+      {WorkerTaskState::kLapsed, "lapsed"},
+  });
+}
+
+/// A task as the worker lists it.
+struct WorkerTask {
+  std::string task;
+  WorkerTaskState state = WorkerTaskState::kRunning;
+  std::string checkpoint;
+  bool has_usage = false;
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+  std::int64_t usage_age_ms = 0;
+};
+
+/// Calls one worker. A call is sent once, and ends at its deadline at latest.
+class WorkerClient {
+ public:
+  /// `url` is the worker's base URL; `http` must outlive the client.
+  WorkerClient(HttpClient& http, std::string url);
+
+  void Describe(Instant deadline, PlatformCallback<WorkerDescription> callback);
+  void Start(const WorkerTaskSpec& spec,
+             Instant deadline,
+             PlatformCallback<Done> callback);
+  void RenewLease(const std::string& task,
+                  std::int64_t lease_ms,
+                  Instant deadline,
+                  PlatformCallback<Done> callback);
+  void Stop(const std::string& task,
+            Instant deadline,
+            PlatformCallback<Done> callback);
+  void Checkpoint(const std::string& task,
+                  Instant deadline,
+                  PlatformCallback<Done> callback);
+
+  /// Limits the task to `share_permille` thousandths of its cores.
+  void Throttle(const std::string& task,
+                std::uint32_t share_permille,
+                Instant deadline,
+                PlatformCallback<Done> callback);
+  void List(Instant deadline,
+            PlatformCallback<std::vector<WorkerTask>> callback);
+
+ private:
+  void Post(const std::string& path,
+            std::string body,
+            Instant deadline,
+            PlatformCallback<Done> callback);
+  void PostToTask(const std::string& task,
+                  const std::string& verb,
+                  std::string body,
+                  Instant deadline,
+                  PlatformCallback<Done> callback);
+
+  HttpClient& http;
+  std::string url;
+};
+
+}  // namespace carobrill::platform
+
+#endif  // PACKAGES_PLATFORM_WORKER_CLIENT_H_
