Add the agent's decisions: lease, gate, attempts, gang members and watcher

Cause: the agent is the admission gate of endpoint and worker. What it starts must be started once, while it holds a lease, and within what the worker has.

Ruled out: forgetting claims by age alone, which loses promises; the offsets of forgotten claims lie below a floor and are refused for good. Ageing by the boot clock, since a frozen agent finds old messages in its sockets when it resumes; the ageing clock advances one second per reading at most. Releasing a cell at the end of a lease without a word from the worker.

--- /dev/null
+++ b/packages/agent/gang_table.h
@@ -0,0 +1,117 @@
+#ifndef PACKAGES_AGENT_GANG_TABLE_H_
+#define PACKAGES_AGENT_GANG_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "packages/agent/aging_clock.h"
+#include "packages/agent/endpoint_gate.h"
+#include "packages/agent/gang_action.h"
+#include "packages/agent/gang_member.h"
+#include "packages/agent/gang_watcher.h"
+#include "packages/agent/identity.h"
+#include "packages/agent/lease_holder.h"
+#include "packages/agent/worker_capacity.h"
+#include "packages/core/time.h"
+#include "packages/rpc/control.pb.h"
+
+namespace carobrill::agent {
+
+/// Tasks of a worker by name.
+using TaskList = std::map<std::string, ListedTask>;
+
+/// The gang members and watchers of one agent.
+class GangTable {
+ public:
+  /// The references must outlive the table.
+  GangTable(const Identity& self,
+            const GangTiming& timing,
+            const MemberChart& chart,
+            const EndpointGate& gate,
+            const LeaseHolder& lease);
+
+  rpc::MemberReply Prepare(const rpc::PrepareMemberRequest& request,
+                           Instant now);
+  rpc::MemberReply Start(const rpc::StartMemberRequest& request,
+                         Instant now,
+                         GangActions& actions);
+  rpc::MemberReply Stop(const rpc::StopMemberRequest& request,
+                        Instant now,
+                        GangActions& actions);
+  rpc::MemberAliveReply OnAlive(const rpc::MemberAliveRequest& request,
+                                Instant now);
+
+  void OnStarted(const MemberKey& key, StartResult result, Instant now);
+  void OnCheckpointed(const MemberKey& key, Instant now);
+  void OnAliveReply(const MemberKey& key,
+                    const rpc::MemberAliveReply& reply,
+                    Instant sent_at,
+                    Instant now);
+  void OnReportRecorded(const rpc::GangReport& report);
+
+  /// Takes in the worker's task list that was asked for at `asked_at`.
+  void OnTaskList(const TaskList& tasks, Instant asked_at, Instant now);
+
+  /// Takes in what the worker has.
+  void OnWorkerSize(const WorkerSize& size) { this->capacity.SetSize(size); }
+
+  /// Stops all members and the gangs watched here, with checkpoints.
+  void StopAll(Instant now);
+
+  /// What is due at `now`.
+  void Tick(Instant now, GangActions& actions);
+
+  /// True when no member holds a cell and no gang awaits its report.
+  bool Empty() const;
+
+  /// True while a task may run at the worker.
+  bool MayRun() const;
+
+  /// The gangs watched here.
+  std::vector<rpc::GangReport> Reports() const;
+
+  /// The last known usage of running tasks.
+  std::vector<rpc::TaskUsage> Usage(Instant now) const;
+
+  const WorkerCapacity& Capacity() const { return this->capacity; }
+
+ private:
+  using GangKey = std::pair<JobId, std::uint32_t>;
+
+  struct EndedJob {
+    std::uint32_t attempt = 0;
+    Instant forget_at;
+  };
+
+  rpc::Refusal CheckPrepare(const rpc::PrepareMemberRequest& request,
+                            Instant now) const;
+  rpc::Refusal CheckMayStart(Instant now) const;
+  rpc::Refusal Reserve(const rpc::PrepareMemberRequest& request, Instant now);
+  bool HasEnded(const JobId& job, std::uint32_t attempt) const;
+  void RememberEnd(const JobId& job, std::uint32_t attempt);
+  bool HasMemberOf(const GangKey& gang) const;
+  void AnswerOwnMembers(Instant now, GangActions& actions);
+  void Forget();
+  rpc::MemberReply ReplyTo(const rpc::Peers& peers, rpc::Refusal refusal) const;
+
+  const Identity& self;
+  GangTiming timing;
+  const MemberChart& chart;
+  const EndpointGate& gate;
+  const LeaseHolder& lease;
+  WorkerCapacity capacity;
+  std::map<MemberKey, GangMember> members;
+  std::map<GangKey, GangWatcher> watchers;
+  std::map<MemberKey, ListedTask> usage;
+  /// The highest attempt of each job that started or was stopped here.
+  std::map<JobId, EndedJob> ended_jobs;
+  AgingClock clock;
+  Instant aged;
+};
+
+}  // namespace carobrill::agent
+
+#endif  // PACKAGES_AGENT_GANG_TABLE_H_
--- /dev/null
+++ b/packages/agent/gang_watcher.cc
@@ -0,0 +1,209 @@
+#include "packages/agent/gang_watcher.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace carobrill::agent {
+namespace {
+
+// A message that names a larger gang is refused before a watcher is made.
+constexpr std::uint32_t kMostMembers = 64;
+
+bool IsFinal(rpc::GangPhase phase) {
+  return phase == rpc::GANG_PHASE_SUCCEEDED ||
+         phase == rpc::GANG_PHASE_FAILED || phase == rpc::GANG_PHASE_STOPPED ||
+         phase == rpc::GANG_PHASE_CHECKPOINTED;
+}
+
+// True when the member stops or has ended without having succeeded.
+bool IsBroken(rpc::GangPhase phase) {
+  return phase == rpc::GANG_PHASE_STOPPING ||
+         (IsFinal(phase) && phase != rpc::GANG_PHASE_SUCCEEDED);
+}
+
+}  // namespace
+
+GangWatcher::GangWatcher(const Identity& self,
+                         const GangTiming& timing,
+                         const rpc::GangMember& spec)
+    : self(self),
+      timing(timing),
+      job(spec.job()),
+      attempt(spec.attempt()),
+      members(std::clamp<std::uint32_t>(spec.members(), 1, kMostMembers)) {}
+
+// Heartbeats may be delivered late or twice, so a final phase stays.
+rpc::MemberAliveReply GangWatcher::OnAlive(
+    const rpc::MemberAliveRequest& request,
+    Instant now) {
+  rpc::MemberAliveReply reply;
+  *reply.mutable_peers() = PeersOfReply(this->self, request.peers());
+  if (request.member() >= this->members.size()) {
+    reply.set_stop(true);
+    return reply;
+  }
+  if (!this->started) {
+    this->started = true;
+    this->start_by = now.After(this->timing.silence_ms);
+  }
+  Member& member = this->members[request.member()];
+  member.heard_at = now;
+  if (!IsFinal(member.phase)) {
+    member.phase = request.phase();
+    member.checkpoint = request.checkpoint();
+  }
+  if (!request.worker().empty()) {
+    member.worker = request.worker();
+  }
+  this->CheckMembers(now);
+  reply.set_stop(this->stopping || this->ended);
+  reply.set_checkpoint(this->stopping && this->with_checkpoint);
+  return reply;
+}
+
+void GangWatcher::Stop(bool checkpoint, Instant now) {
+  if (!this->started) {
+    this->started = true;
+    this->start_by = now;
+  }
+  this->with_checkpoint =
+      checkpoint && (!this->stopping || this->with_checkpoint);
+  this->stopping = true;
+}
+
+void GangWatcher::Tick(Instant now, GangActions& actions) {
+  if (!this->started) {
+    return;
+  }
+  this->CheckMembers(now);
+  this->CheckEnd(now);
+  const rpc::GangReport report = this->Report();
+  const bool tell = this->ended || report.phase() == rpc::GANG_PHASE_RUNNING;
+  if (tell && report.phase() != this->recorded && now >= this->report_at) {
+    this->report_at = now.After(this->timing.report_ms);
+    actions.emplace_back(SendReport{report});
+  }
+}
+
+void GangWatcher::OnReportRecorded(rpc::GangPhase phase) {
+  this->recorded = phase;
+}
+
+rpc::GangReport GangWatcher::Report() const {
+  rpc::GangReport report;
+  report.set_job(this->job);
+  report.set_attempt(this->attempt);
+  if (!this->ended) {
+    report.set_phase(this->stopping  ? rpc::GANG_PHASE_STOPPING
+                     : this->running ? rpc::GANG_PHASE_RUNNING
+                     : this->started ? rpc::GANG_PHASE_STARTING
+                                     : rpc::GANG_PHASE_PREPARED);
+    return report;
+  }
+  report.set_phase(this->Outcome());
+  report.set_run_ms(this->run_ms);
+  if (report.phase() == rpc::GANG_PHASE_CHECKPOINTED) {
+    report.set_checkpoint(this->Checkpoints());
+  }
+  if (report.phase() != rpc::GANG_PHASE_FAILED) {
+    return report;
+  }
+  for (std::size_t number = 0; number < this->members.size(); ++number) {
+    const Member& member = this->members[number];
+    if (!member.caused_stop) {
+      continue;
+    }
+    report.add_failed_members(static_cast<std::uint32_t>(number));
+    if (!member.worker.empty()) {
+      report.add_failed_workers(member.worker);
+    }
+  }
+  return report;
+}
+
+// A member that is not heard renews its task's lease at most until the watcher
+// has been silent for it, with a call that may take its time limit.
+bool GangWatcher::HasEnded(const Member& member, Instant now) const {
+  if (IsFinal(member.phase)) {
+    return true;
+  }
+  const Instant heard_at = std::max(member.heard_at, this->start_by);
+  return now >=
+         heard_at.After(this->timing.silence_ms + this->timing.worker_call_ms +
+                        this->timing.task_lease_ms);
+}
+
+bool GangWatcher::IsLate(const Member& member, Instant now) const {
+  if (IsFinal(member.phase)) {
+    return false;
+  }
+  if (now < this->start_by) {
+    return false;
+  }
+  return member.phase != rpc::GANG_PHASE_RUNNING ||
+         now >= member.heard_at.After(this->timing.silence_ms);
+}
+
+// Only what happens before the stop is a cause of it; afterwards members end
+// because they were told to.
+void GangWatcher::CheckMembers(Instant now) {
+  if (this->stopping || this->ended) {
+    return;
+  }
+  bool all_run = true;
+  for (Member& member : this->members) {
+    member.caused_stop = IsBroken(member.phase) || this->IsLate(member, now);
+    this->stopping = this->stopping || member.caused_stop;
+    all_run = all_run && (member.phase == rpc::GANG_PHASE_RUNNING ||
+                          member.phase == rpc::GANG_PHASE_SUCCEEDED);
+  }
+  if (all_run && !this->running) {
+    this->running = true;
+    this->running_since = now;
+  }
+}
+
+void GangWatcher::CheckEnd(Instant now) {
+  if (this->ended) {
+    return;
+  }
+  this->ended = std::all_of(this->members.begin(), this->members.end(),
+                            [this, now](const Member& member) {
+                              return this->HasEnded(member, now);
+                            });
+  if (this->ended && this->running) {
+    this->run_ms = now.ms - this->running_since.ms;
+  }
+}
+
+// A member that stopped by itself without a failure, as at a shutdown of its
+// agent, ends the gang as stopped.
+rpc::GangPhase GangWatcher::Outcome() const {
+  bool all_succeeded = true;
+  bool all_saved = true;
+  for (const Member& member : this->members) {
+    const bool succeeded = member.phase == rpc::GANG_PHASE_SUCCEEDED;
+    all_succeeded = all_succeeded && succeeded;
+    all_saved = all_saved && !member.checkpoint.empty() &&
+                member.phase == rpc::GANG_PHASE_CHECKPOINTED;
+    const bool orderly = member.phase == rpc::GANG_PHASE_STOPPED ||
+                         member.phase == rpc::GANG_PHASE_CHECKPOINTED;
+    if (member.caused_stop && !orderly && !succeeded) {
+      return rpc::GANG_PHASE_FAILED;
+    }
+  }
+  if (all_succeeded) {
+    return rpc::GANG_PHASE_SUCCEEDED;
+  }
+  return all_saved ? rpc::GANG_PHASE_CHECKPOINTED : rpc::GANG_PHASE_STOPPED;
+}
+
+std::string GangWatcher::Checkpoints() const {
+  nlohmann::json checkpoints = nlohmann::json::array();
+  for (const Member& member : this->members) {
+    checkpoints.push_back(member.checkpoint);
+  }
+  return checkpoints.dump();
+}
+
+}  // namespace carobrill::agent
--- /dev/null
+++ b/packages/agent/identity.cc
@@ -0,0 +1,25 @@
+#include "packages/agent/identity.h"
+
+namespace carobrill::agent {
+
+bool IsAddressedTo(const Identity& self, const rpc::Peers& peers) {
+  return peers.receiver() == self.instance.value &&
+         peers.receiver_incarnation() == self.incarnation;
+}
+
+rpc::Peers PeersTo(const Identity& self,
+                   const std::string& receiver,
+                   Incarnation incarnation) {
+  rpc::Peers peers;
+  peers.set_sender(self.instance.value);
+  peers.set_sender_incarnation(self.incarnation);
+  peers.set_receiver(receiver);
+  peers.set_receiver_incarnation(incarnation);
+  return peers;
+}
+
+rpc::Peers PeersOfReply(const Identity& self, const rpc::Peers& request) {
+  return PeersTo(self, request.sender(), request.sender_incarnation());
+}
+
+}  // namespace carobrill::agent
--- /dev/null
+++ b/packages/agent/worker_capacity.cc
@@ -0,0 +1,57 @@
+#include "packages/agent/worker_capacity.h"
+
+#include <algorithm>
+
+namespace carobrill::agent {
+
+void WorkerCapacity::SetSize(const WorkerSize& total) {
+  this->total = total;
+}
+
+// The sums are taken in 64 bits, so that a large request cannot wrap around.
+bool WorkerCapacity::Reserve(const MemberKey& key, const TaskCell& cell) {
+  const auto known = this->cells.find(key);
+  if (known != this->cells.end()) {
+    return known->second == cell;
+  }
+  if (!this->total.has_value() || this->foreign || this->Overlaps(cell)) {
+    return false;
+  }
+  const WorkerSize used = this->Used();
+  const std::uint64_t last =
+      std::uint64_t{cell.first_accelerator} + cell.accelerators;
+  if (last > this->total->accelerators ||
+      std::uint64_t{used.cores_milli} + cell.cores_milli >
+          this->total->cores_milli ||
+      std::uint64_t{used.memory_mb} + cell.memory_mb > this->total->memory_mb) {
+    return false;
+  }
+  this->cells.emplace(key, cell);
+  return true;
+}
+
+void WorkerCapacity::Release(const MemberKey& key) {
+  this->cells.erase(key);
+}
+
+WorkerSize WorkerCapacity::Used() const {
+  WorkerSize used;
+  for (const auto& [key, cell] : this->cells) {
+    used.cores_milli += cell.cores_milli;
+    used.memory_mb += cell.memory_mb;
+    used.accelerators += cell.accelerators;
+  }
+  return used;
+}
+
+bool WorkerCapacity::Overlaps(const TaskCell& cell) const {
+  const std::uint64_t first = cell.first_accelerator;
+  const std::uint64_t last = first + cell.accelerators;
+  return std::any_of(
+      this->cells.begin(), this->cells.end(), [first, last](const auto& item) {
+        const std::uint64_t start = item.second.first_accelerator;
+        return first < start + item.second.accelerators && start < last;
+      });
+}
+
+}  // namespace carobrill::agent
