Add the agent role of the daemon

Cause: the decisions of the agent package need gRPC, HTTP and timers.

Ruled out: several tasks per agent.

Conclusion: one task; a tick of 50 ms; the server stays open for one second after leaving was announced, since a call that meets a closing connection cannot be told from a delivered one.

--- /dev/null
+++ b/packages/daemon/agent_context.h
@@ -0,0 +1,39 @@
+#ifndef PACKAGES_DAEMON_AGENT_CONTEXT_H_
+#define PACKAGES_DAEMON_AGENT_CONTEXT_H_
+
+#include <string>
+
+#include "packages/agent/endpoint_gate.h"
+#include "packages/agent/identity.h"
+#include "packages/agent/lease_holder.h"
+#include "packages/core/task.h"
+#include "packages/daemon/settings.h"
+#include "packages/platform/http_client.h"
+#include "packages/rpc/agent_client.h"
+#include "packages/rpc/channel_pool.h"
+#include "packages/rpc/entry_client.h"
+
+namespace carobrill::daemon {
+
+/// What the parts of the agent role share. Everything runs on `task`.
+struct AgentContext {
+  AgentContext(const Settings& settings,
+               Task& task,
+               const agent::GateChart& chart);
+
+  Settings settings;
+  Task& task;
+  agent::Identity self;
+  agent::EndpointGate gate;
+  agent::LeaseHolder lease;
+  rpc::ChannelPool channels;
+  rpc::EntryClient entries;
+  rpc::AgentClient agents;
+  platform::HttpClient http;
+  /// "ip:port" on which other processes reach this agent.
+  std::string address;
+};
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_AGENT_CONTEXT_H_
--- /dev/null
+++ b/packages/daemon/agent_gangs.cc
@@ -0,0 +1,245 @@
+#include "packages/daemon/agent_gangs.h"
+
+#include <utility>
+#include <variant>
+
+#include "packages/core/log.h"
+
+namespace carobrill::daemon {
+namespace {
+
+constexpr std::int64_t kDescribeIntervalMs = 10'000;
+constexpr std::int64_t kDescribeRetryMs = 500;
+constexpr std::int64_t kListIntervalMs = 500;
+
+// Without tasks the list only serves to notice tasks of an earlier incarnation.
+constexpr std::int64_t kIdleListIntervalMs = 2'000;
+
+agent::GangTiming TimingOf(const WorkerSettings& settings) {
+  agent::GangTiming timing;
+  timing.task_lease_ms = settings.task_lease_ms;
+  timing.alive_ms = settings.member_interval_ms;
+  timing.silence_ms = settings.member_silence_ms;
+  return timing;
+}
+
+agent::StartResult ResultOf(platform::PlatformFailure failure) {
+  switch (failure) {
+    case platform::PlatformFailure::kNone:
+      return agent::StartResult::kStarted;
+    case platform::PlatformFailure::kRefused:
+      return agent::StartResult::kRefused;
+    default:
+      return agent::StartResult::kUnknown;
+  }
+}
+
+platform::WorkerTaskSpec SpecOf(const agent::StartTask& action) {
+  platform::WorkerTaskSpec spec;
+  spec.task = agent::TaskNameOf(action.key);
+  spec.lease_ms = action.lease_ms;
+  spec.cores_milli = action.spec.cores_milli();
+  spec.memory_mb = action.spec.memory_mb();
+  for (std::uint32_t i = 0; i < action.spec.accelerators(); ++i) {
+    spec.accelerators.push_back(action.spec.first_accelerator() + i);
+  }
+  spec.run_ms = action.spec.run_ms();
+  spec.payload = action.spec.payload();
+  spec.checkpoint = action.spec.checkpoint();
+  return spec;
+}
+
+agent::ListedTask ListedTaskOf(const platform::WorkerTask& task, Instant now) {
+  agent::ListedTask listed;
+  listed.state = FindByName<agent::TaskState>(NameOf(task.state))
+                     .value_or(agent::TaskState::kMissing);
+  listed.checkpoint = task.checkpoint;
+  listed.has_usage = task.has_usage;
+  listed.cores_milli = task.cores_milli;
+  listed.memory_mb = task.memory_mb;
+  listed.sampled_at = now.After(-task.usage_age_ms);
+  return listed;
+}
+
+void LogFailure(const std::string& what,
+                const agent::MemberKey& key,
+                std::string_view failure) {
+  Log(LogLevel::kWarning, what + " failed",
+      {{"task", agent::TaskNameOf(key)}, {"failure", std::string(failure)}});
+}
+
+}  // namespace
+
+AgentGangs::AgentGangs(AgentContext& context,
+                       const agent::MemberChart& chart,
+                       Reporter report)
+    : context(context),
+      report(std::move(report)),
+      timing(TimingOf(context.settings.agent.worker)),
+      table(context.self, this->timing, chart, context.gate, context.lease),
+      worker(context.http, context.settings.agent.worker.url) {}
+
+void AgentGangs::Prepare(const rpc::PrepareMemberRequest& request,
+                         const rpc::Responder<rpc::MemberReply>& respond) {
+  respond(this->table.Prepare(request, BootClock{}.Now()));
+}
+
+void AgentGangs::Start(const rpc::StartMemberRequest& request,
+                       const rpc::Responder<rpc::MemberReply>& respond) {
+  agent::GangActions actions;
+  const rpc::MemberReply reply =
+      this->table.Start(request, BootClock{}.Now(), actions);
+  this->Do(actions);
+  respond(reply);
+}
+
+void AgentGangs::Stop(const rpc::StopMemberRequest& request,
+                      const rpc::Responder<rpc::MemberReply>& respond) {
+  agent::GangActions actions;
+  const rpc::MemberReply reply =
+      this->table.Stop(request, BootClock{}.Now(), actions);
+  this->Do(actions);
+  respond(reply);
+}
+
+void AgentGangs::MemberAlive(
+    const rpc::MemberAliveRequest& request,
+    const rpc::Responder<rpc::MemberAliveReply>& respond) {
+  respond(this->table.OnAlive(request, BootClock{}.Now()));
+}
+
+void AgentGangs::Tick(Instant now) {
+  agent::GangActions actions;
+  this->table.Tick(now, actions);
+  this->Do(actions);
+  if (this->context.settings.agent.worker.id.empty()) {
+    return;
+  }
+  if (now >= this->describe_at) {
+    this->AskWorker(now);
+  }
+  if (now >= this->list_at && !this->listing) {
+    this->AskList(now);
+  }
+}
+
+void AgentGangs::StopAll(Instant now) {
+  this->table.StopAll(now);
+}
+
+void AgentGangs::Do(const agent::GangActions& actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& one) { this->Do(one); }, action);
+  }
+}
+
+void AgentGangs::Do(const agent::StartTask& action) {
+  this->list_at = {};
+  this->worker.Start(
+      SpecOf(action), this->CallDeadline(),
+      [this,
+       key = action.key](const platform::PlatformReply<platform::Done>& reply) {
+        if (!reply.Ok()) {
+          LogFailure("task start", key, NameOf(reply.failure));
+        }
+        this->table.OnStarted(key, ResultOf(reply.failure), BootClock{}.Now());
+      });
+}
+
+void AgentGangs::Do(const agent::RenewTask& action) {
+  this->worker.RenewLease(
+      agent::TaskNameOf(action.key), action.lease_ms, this->CallDeadline(),
+      [key = action.key](const platform::PlatformReply<platform::Done>& reply) {
+        if (!reply.Ok()) {
+          LogFailure("lease renewal", key, NameOf(reply.failure));
+        }
+      });
+}
+
+void AgentGangs::Do(const agent::CheckpointTask& action) {
+  this->worker.Checkpoint(
+      agent::TaskNameOf(action.key),
+      BootClock{}.Now().After(this->timing.checkpoint_ms),
+      [this,
+       key = action.key](const platform::PlatformReply<platform::Done>& reply) {
+        if (!reply.Ok()) {
+          LogFailure("checkpoint", key, NameOf(reply.failure));
+        }
+        this->table.OnCheckpointed(key, BootClock{}.Now());
+      });
+}
+
+void AgentGangs::Do(const agent::StopTask& action) {
+  this->list_at = {};
+  this->worker.Stop(
+      agent::TaskNameOf(action.key), this->CallDeadline(),
+      [key = action.key](const platform::PlatformReply<platform::Done>& reply) {
+        if (!reply.Ok()) {
+          LogFailure("task stop", key, NameOf(reply.failure));
+        }
+      });
+}
+
+// A heartbeat is not repeated: the next one follows at its interval.
+void AgentGangs::Do(const agent::SendAlive& action) {
+  const Instant sent_at = BootClock{}.Now();
+  this->context.agents.MemberAlive(
+      action.address, action.request, sent_at.After(this->timing.silence_ms),
+      [this, key = action.key,
+       sent_at](const rpc::RpcReply<rpc::MemberAliveReply>& reply) {
+        if (reply.Ok()) {
+          this->table.OnAliveReply(key, reply.value, sent_at,
+                                   BootClock{}.Now());
+        }
+      });
+}
+
+void AgentGangs::Do(const agent::SendReport& action) {
+  this->report(action.report, [this, report = action.report] {
+    this->table.OnReportRecorded(report);
+  });
+}
+
+void AgentGangs::AskWorker(Instant now) {
+  this->describe_at = now.After(kDescribeIntervalMs);
+  this->worker.Describe(
+      this->CallDeadline(),
+      [this](
+          const platform::PlatformReply<platform::WorkerDescription>& reply) {
+        if (!reply.Ok()) {
+          this->describe_at = BootClock{}.Now().After(kDescribeRetryMs);
+          return;
+        }
+        this->table.OnWorkerSize({reply.value.cores_milli,
+                                  reply.value.memory_mb,
+                                  reply.value.accelerators});
+      });
+}
+
+void AgentGangs::AskList(Instant now) {
+  this->listing = true;
+  this->list_at =
+      now.After(this->table.MayRun() ? kListIntervalMs : kIdleListIntervalMs);
+  this->worker.List(
+      this->CallDeadline(),
+      [this,
+       now](const platform::PlatformReply<std::vector<platform::WorkerTask>>&
+                reply) {
+        this->listing = false;
+        if (!reply.Ok()) {
+          return;
+        }
+        const Instant answered_at = BootClock{}.Now();
+        agent::TaskList tasks;
+        for (const auto& task : reply.value) {
+          tasks[task.task] = ListedTaskOf(task, answered_at);
+        }
+        this->table.OnTaskList(tasks, now, answered_at);
+      });
+}
+
+Instant AgentGangs::CallDeadline() const {
+  return BootClock{}.Now().After(this->timing.worker_call_ms);
+}
+
+}  // namespace carobrill::daemon
--- /dev/null
+++ b/packages/daemon/agent_role.cc
@@ -0,0 +1,339 @@
+#include "packages/daemon/agent_role.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "packages/core/log.h"
+#include "packages/core/task.h"
+#include "packages/daemon/agent_announcer.h"
+#include "packages/daemon/agent_context.h"
+#include "packages/daemon/agent_gangs.h"
+#include "packages/daemon/agent_requests.h"
+#include "packages/daemon/agent_status_page.h"
+#include "packages/platform/http_server.h"
+#include "packages/rpc/agent_server.h"
+
+namespace carobrill::daemon {
+namespace {
+
+constexpr std::int64_t kTickMs = 50;
+
+// Entries tell each other within two digests (600 ms) that an agent leaves. The
+// server stays open so long, because a call that meets a closing connection
+// cannot be told from one that was delivered.
+constexpr std::int64_t kLingerMs = 1'000;
+
+// After the shutdown limit: time for checkpoints, the end of the tasks and the
+// reports to entries.
+constexpr std::int64_t kStopMs = 15'000;
+
+// Time for the last replies to leave.
+constexpr std::int64_t kCloseMs = 1'000;
+
+std::string JoinAddress(const std::string& address, std::uint16_t port) {
+  const bool is_v6 = address.find(':') != std::string::npos;
+  return (is_v6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
+}
+
+/// The state charts of the role, as read from their files.
+struct Charts {
+  agent::GateChart gate;
+  agent::MemberChart member;
+};
+
+Result<Charts> LoadCharts(const std::string& directory) {
+  Charts charts;
+  BOOST_LEAF_ASSIGN(charts.gate, agent::GateChart::Load(directory, "endpoint"));
+  BOOST_LEAF_ASSIGN(charts.member,
+                    agent::MemberChart::Load(directory, "member"));
+  return charts;
+}
+
+/// The parts of a started role. Made, used and ended on the task.
+class Parts {
+ public:
+  Parts(const Settings& settings, Task& task, const Charts& charts)
+      : charts(charts),
+        context(settings, task, this->charts.gate),
+        requests(this->context),
+        gangs(this->context,
+              this->charts.member,
+              [this](const rpc::GangReport& report,
+                     std::function<void()> recorded) {
+                this->announcer.Report(report, std::move(recorded));
+              }),
+        announcer(this->context,
+                  [this](rpc::AnnounceRequest& request, bool with_usage) {
+                    this->Fill(request, with_usage);
+                  }),
+        server(task, this->Handlers()),
+        pages(task,
+              [this](const platform::HttpRequest& request,
+                     const platform::HttpResponder& respond) {
+                respond(AgentPage(request, this->Status()));
+              }) {}
+
+  /// Sets the address that entries and other agents call.
+  void SetPort(std::uint16_t port) {
+    this->context.address =
+        JoinAddress(this->context.settings.instance.rpc.address, port);
+  }
+
+  rpc::AgentServer& Server() { return this->server; }
+  platform::HttpServer& Pages() { return this->pages; }
+
+  void Tick() {
+    const Instant now = BootClock{}.Now();
+    if (this->HasEndpoint()) {
+      this->requests.Tick(now);
+    }
+    this->gangs.Tick(now);
+    const bool ready = (!this->HasEndpoint() || this->requests.Ready()) &&
+                       (!this->HasWorker() || this->gangs.Ready());
+    if (ready && this->context.gate.State() == agent::GateState::kJoining) {
+      this->context.gate.SetReady();
+    }
+    this->TickShutdown(now);
+    this->announcer.Tick(now);
+  }
+
+  void BeginShutdown(std::function<void()> on_drained) {
+    if (this->drained) {
+      return;
+    }
+    const Instant now = BootClock{}.Now();
+    Log(LogLevel::kInfo, "shutdown: refusing new work");
+    this->drained = std::move(on_drained);
+    this->linger_until = now.After(kLingerMs);
+    this->stop_at =
+        now.After(this->context.settings.instance.shutdown_limit_ms);
+    this->give_up_at = this->stop_at.After(kStopMs);
+    this->context.gate.SetLeaving(agent::LeaveCause::kShutdown, true);
+    this->Tick();
+  }
+
+ private:
+  bool HasEndpoint() const {
+    return !this->context.settings.agent.endpoint.id.empty();
+  }
+
+  bool HasWorker() const {
+    return !this->context.settings.agent.worker.id.empty();
+  }
+
+  rpc::AgentHandlers Handlers() {
+    rpc::AgentHandlers handlers;
+    handlers.execute = [this](const rpc::ExecuteRequest& request,
+                              const rpc::Responder<rpc::ExecuteReply>& reply) {
+      this->requests.Execute(request, reply);
+    };
+    handlers.fence_claim =
+        [this](const rpc::FenceClaimRequest& request,
+               const rpc::Responder<rpc::FenceClaimReply>& reply) {
+          this->requests.FenceClaim(request, reply);
+        };
+    handlers.prepare_member =
+        [this](const rpc::PrepareMemberRequest& request,
+               const rpc::Responder<rpc::MemberReply>& reply) {
+          this->gangs.Prepare(request, reply);
+        };
+    handlers.start_member = [this](
+                                const rpc::StartMemberRequest& request,
+                                const rpc::Responder<rpc::MemberReply>& reply) {
+      this->gangs.Start(request, reply);
+    };
+    handlers.stop_member = [this](
+                               const rpc::StopMemberRequest& request,
+                               const rpc::Responder<rpc::MemberReply>& reply) {
+      this->gangs.Stop(request, reply);
+    };
+    handlers.member_alive =
+        [this](const rpc::MemberAliveRequest& request,
+               const rpc::Responder<rpc::MemberAliveReply>& reply) {
+          this->gangs.MemberAlive(request, reply);
+        };
+    handlers.drain = [this](const rpc::DrainRequest& request,
+                            const rpc::Responder<rpc::DrainReply>& reply) {
+      this->Drain(request, reply);
+    };
+    return handlers;
+  }
+
+  void Drain(const rpc::DrainRequest& request,
+             const rpc::Responder<rpc::DrainReply>& respond) {
+    rpc::DrainReply reply;
+    *reply.mutable_peers() =
+        agent::PeersOfReply(this->context.self, request.peers());
+    if (agent::IsAddressedTo(this->context.self, request.peers())) {
+      Log(LogLevel::kInfo, "leaving: drained", {{"reason", request.reason()}});
+      this->context.gate.SetLeaving(agent::LeaveCause::kDrain, true);
+      this->announcer.Tick(BootClock{}.Now());
+    }
+    respond(std::move(reply));
+  }
+
+  void Fill(rpc::AnnounceRequest& request, bool with_usage) {
+    if (this->HasEndpoint()) {
+      *request.mutable_service() = this->requests.Load();
+    }
+    const agent::GangTable& table = this->gangs.Table();
+    const auto& size = table.Capacity().Size();
+    if (this->HasWorker() && size.has_value()) {
+      rpc::WorkerInventory& worker = *request.mutable_worker();
+      worker.set_worker(this->context.settings.agent.worker.id);
+      worker.set_rack(this->context.settings.agent.worker.rack);
+      worker.set_cores_milli(size->cores_milli);
+      worker.set_memory_mb(size->memory_mb);
+      worker.set_accelerators(size->accelerators);
+    }
+    for (auto& report : table.Reports()) {
+      *request.add_gangs() = std::move(report);
+    }
+    if (with_usage) {
+      for (auto& usage : table.Usage(BootClock{}.Now())) {
+        *request.add_usage() = std::move(usage);
+      }
+    }
+  }
+
+  AgentStatus Status() const {
+    const agent::GangTable& table = this->gangs.Table();
+    AgentStatus status;
+    status.state = this->context.gate.State();
+    status.holds_lease = this->context.lease.Holds(BootClock{}.Now());
+    status.slots_used = this->context.gate.SlotsUsed();
+    status.attempts_passed = this->requests.Passed();
+    status.attempts_refused = this->requests.Refused();
+    status.worker_used = table.Capacity().Used();
+    status.gangs_watched = table.Reports().size();
+    return status;
+  }
+
+  // Running work goes on until the shutdown limit. "Gone" is announced when
+  // nothing runs any more, and the server closes after that.
+  void TickShutdown(Instant now) {
+    if (!this->drained || this->closing) {
+      return;
+    }
+    if (now >= this->stop_at && !this->stopped_all) {
+      Log(LogLevel::kWarning, "shutdown: stopping what still runs");
+      this->stopped_all = true;
+      this->gangs.StopAll(now);
+    }
+    const bool requests_done =
+        this->requests.Running() == 0 || this->stopped_all;
+    const bool done = requests_done && this->gangs.Table().Empty() &&
+                      now >= this->linger_until;
+    if (done) {
+      this->context.gate.SetEmptied();
+    }
+    const bool told = this->announcer.StateIsKnown() ||
+                      now >= this->linger_until.After(kLingerMs);
+    if ((done && told) || now >= this->give_up_at) {
+      this->closing = true;
+      this->server.Shutdown(now.After(kCloseMs), [this] {
+        Log(LogLevel::kInfo, "shutdown: drained");
+        this->drained();
+      });
+    }
+  }
+
+  Charts charts;
+  AgentContext context;
+  AgentRequests requests;
+  AgentGangs gangs;
+  AgentAnnouncer announcer;
+  std::function<void()> drained;
+  Instant linger_until;
+  Instant stop_at;
+  Instant give_up_at;
+  bool stopped_all = false;
+  bool closing = false;
+  rpc::AgentServer server;
+  platform::HttpServer pages;
+};
+
+}  // namespace
+
+class AgentRole::Impl {
+ public:
+  explicit Impl(const Settings& settings) : settings(settings) {}
+
+  // The parts end on their task, so that no timer or message finds them half
+  // destroyed.
+  ~Impl() {
+    this->task.Run([this] { this->parts.reset(); });
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Result<void> Start() {
+    BOOST_LEAF_AUTO(charts,
+                    LoadCharts(this->settings.instance.charts_directory));
+    this->task.Run(
+        [&] { this->parts.emplace(this->settings, this->task, charts); });
+    const InstanceSettings& instance = this->settings.instance;
+    BOOST_LEAF_ASSIGN(
+        this->rpc_port,
+        this->parts->Server().Listen(instance.rpc.address, instance.rpc.port));
+    BOOST_LEAF_ASSIGN(
+        this->http_port,
+        this->parts->Pages().Listen(instance.http.address, instance.http.port));
+    this->task.Run([this] {
+      this->parts->SetPort(this->rpc_port);
+      this->parts->Tick();
+    });
+    this->task.PostEvery(kTickMs, [this] {
+      if (this->parts.has_value()) {
+        this->parts->Tick();
+      }
+    });
+    Log(LogLevel::kInfo, "agent started",
+        {{"rpc_port", std::to_string(this->rpc_port)},
+         {"http_port", std::to_string(this->http_port)}});
+    return {};
+  }
+
+  void BeginShutdown(std::function<void()> drained) {
+    this->task.Post([this, drained = std::move(drained)]() mutable {
+      if (this->parts.has_value()) {
+        this->parts->BeginShutdown(std::move(drained));
+      }
+    });
+  }
+
+  std::uint16_t RpcPort() const { return this->rpc_port; }
+  std::uint16_t HttpPort() const { return this->http_port; }
+
+ private:
+  Settings settings;
+  std::optional<Parts> parts;
+  std::uint16_t rpc_port = 0;
+  std::uint16_t http_port = 0;
+  Task task{"agent"};
+};
+
+AgentRole::AgentRole(const Settings& settings)
+    : impl(std::make_unique<Impl>(settings)) {}
+
+AgentRole::~AgentRole() = default;
+
+Result<void> AgentRole::Start() {
+  return this->impl->Start();
+}
+
+void AgentRole::BeginShutdown(std::function<void()> drained) {
+  this->impl->BeginShutdown(std::move(drained));
+}
+
+std::uint16_t AgentRole::RpcPort() const {
+  return this->impl->RpcPort();
+}
+
+std::uint16_t AgentRole::HttpPort() const {
+  return this->impl->HttpPort();
+}
+
+}  // namespace carobrill::daemon
--- /dev/null
+++ b/packages/daemon/agent_status_page.h
@@ -0,0 +1,30 @@
+#ifndef PACKAGES_DAEMON_AGENT_STATUS_PAGE_H_
+#define PACKAGES_DAEMON_AGENT_STATUS_PAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "packages/agent/endpoint_gate.h"
+#include "packages/agent/worker_capacity.h"
+#include "packages/platform/http_types.h"
+
+namespace carobrill::daemon {
+
+/// What an agent shows to operators.
+struct AgentStatus {
+  agent::GateState state = agent::GateState::kJoining;
+  bool holds_lease = false;
+  std::uint32_t slots_used = 0;
+  std::uint64_t attempts_passed = 0;
+  std::uint64_t attempts_refused = 0;
+  agent::WorkerSize worker_used;
+  std::size_t gangs_watched = 0;
+};
+
+/// Answers /healthz, /readyz and /metrics (Prometheus text).
+platform::HttpResponse AgentPage(const platform::HttpRequest& request,
+                                 const AgentStatus& status);
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_AGENT_STATUS_PAGE_H_
