--- a/packages/agent/attempt_table.cc
+++ b/packages/agent/attempt_table.cc
@@ -35,8 +35,7 @@
 
 AttemptTable::AttemptTable(const AttemptLimits& limits) : limits(limits) {}
 
-rpc::Refusal AttemptTable::Begin(const AttemptKey& key, Instant now) {
-  this->Tick(now);
+rpc::Refusal AttemptTable::Check(const AttemptKey& key) const {
   if (this->attempts.contains(key.attempt)) {
     return rpc::REFUSAL_DUPLICATE;
   }
@@ -44,6 +43,15 @@
       (*key.claim < this->floor || this->claims.contains(*key.claim))) {
     return rpc::REFUSAL_FENCED;
   }
+  return rpc::REFUSAL_NONE;
+}
+
+rpc::Refusal AttemptTable::Begin(const AttemptKey& key, Instant now) {
+  this->Tick(now);
+  const rpc::Refusal refusal = this->Check(key);
+  if (refusal != rpc::REFUSAL_NONE) {
+    return refusal;
+  }
   if (!this->Remember(key, now)) {
     return rpc::REFUSAL_NO_SLOT;
   }
--- a/packages/agent/attempt_table.h
+++ b/packages/agent/attempt_table.h
@@ -56,6 +56,9 @@
  public:
   explicit AttemptTable(const AttemptLimits& limits = {});
 
+  /// REFUSAL_NONE when the attempt has not been seen and its claim is open.
+  rpc::Refusal Check(const AttemptKey& key) const;
+
   /// REFUSAL_NONE when the attempt may run now; it counts as running then.
   rpc::Refusal Begin(const AttemptKey& key, Instant now);
 
--- a/packages/agent/gang_table.cc
+++ b/packages/agent/gang_table.cc
@@ -252,8 +252,11 @@
   }
   // The agent of the first member watches the gang.
   if (spec.member() == 0) {
-    this->watchers.try_emplace({key.job, key.attempt}, this->self, this->timing,
-                               spec);
+    const auto watcher =
+        this->watchers
+            .try_emplace({key.job, key.attempt}, this->self, this->timing, spec)
+            .first;
+    watcher->second.ExtendPromise(until);
   }
   return rpc::REFUSAL_NONE;
 }
--- a/packages/agent/gang_watcher.cc
+++ b/packages/agent/gang_watcher.cc
@@ -32,6 +32,10 @@
       attempt(spec.attempt()),
       members(std::clamp<std::uint32_t>(spec.members(), 1, kMostMembers)) {}
 
+void GangWatcher::ExtendPromise(Instant until) {
+  this->promise_until = std::max(this->promise_until, until);
+}
+
 // Heartbeats may be delivered late or twice, so a final phase stays.
 rpc::MemberAliveReply GangWatcher::OnAlive(
     const rpc::MemberAliveRequest& request,
@@ -122,14 +126,18 @@
 }
 
 // A member that is not heard renews its task's lease at most until the watcher
-// has been silent for it, with a call that may take its time limit.
+// has been silent for it, with a call that may take its time limit. One that
+// was never heard may have started as late as its promise allows.
 bool GangWatcher::HasEnded(const Member& member, Instant now) const {
   if (IsFinal(member.phase)) {
     return true;
   }
-  const Instant heard_at = std::max(member.heard_at, this->start_by);
+  const bool heard = member.phase != rpc::GANG_PHASE_UNSPECIFIED;
+  const Instant last_start = heard ? this->start_by : this->promise_until;
+  const Instant alive_at =
+      std::max({member.heard_at, this->start_by, last_start});
   return now >=
-         heard_at.After(this->timing.silence_ms + this->timing.worker_call_ms +
+         alive_at.After(this->timing.silence_ms + this->timing.worker_call_ms +
                         this->timing.task_lease_ms);
 }
 
--- a/packages/agent/gang_watcher.h
+++ b/packages/agent/gang_watcher.h
@@ -21,6 +21,9 @@
               const GangTiming& timing,
               const rpc::GangMember& spec);
 
+  /// Members that were not heard may still start until `promise_until`.
+  void ExtendPromise(Instant until);
+
   /// Takes in a heartbeat and answers it.
   rpc::MemberAliveReply OnAlive(const rpc::MemberAliveRequest& request,
                                 Instant now);
@@ -71,6 +74,7 @@
   std::string job;
   std::uint32_t attempt = 0;
   std::vector<Member> members;
+  Instant promise_until;
   bool started = false;
   /// When every member must be running.
   Instant start_by;
--- a/packages/agent/request_admission.cc
+++ b/packages/agent/request_admission.cc
@@ -18,7 +18,7 @@
     return rpc::REFUSAL_WRONG_INCARNATION;
   }
   const AdmittedAttempt attempt = AttemptOf(request, now);
-  rpc::Refusal refusal = this->Check(request, now);
+  rpc::Refusal refusal = this->Check(attempt, request, now);
   if (refusal == rpc::REFUSAL_NONE) {
     refusal = this->gate.Enter(attempt.predicted_long);
   }
@@ -109,16 +109,20 @@
   return reply;
 }
 
-// A remaining time of zero means that the caller has given up.
-rpc::Refusal RequestAdmission::Check(const rpc::ExecuteRequest& request,
+// Earlier deliveries are looked for first: the refusal of a repeated message
+// must not say "not run" because the lease has ended in the meantime. A
+// remaining time of zero means that the caller has given up.
+rpc::Refusal RequestAdmission::Check(const AdmittedAttempt& attempt,
+                                     const rpc::ExecuteRequest& request,
                                      Instant now) const {
+  const rpc::Refusal refusal = this->attempts.Check(attempt.key);
+  if (refusal != rpc::REFUSAL_NONE) {
+    return refusal;
+  }
   if (request.remaining_ms() == 0) {
     return rpc::REFUSAL_DEADLINE_PASSED;
   }
-  if (!this->lease.Holds(now)) {
-    return rpc::REFUSAL_NO_LEASE;
-  }
-  return rpc::REFUSAL_NONE;
+  return this->lease.Holds(now) ? rpc::REFUSAL_NONE : rpc::REFUSAL_NO_LEASE;
 }
 
 }  // namespace carobrill::agent
--- a/packages/agent/request_admission.h
+++ b/packages/agent/request_admission.h
@@ -61,7 +61,9 @@
   std::size_t Remembered() const { return this->attempts.Size(); }
 
  private:
-  rpc::Refusal Check(const rpc::ExecuteRequest& request, Instant now) const;
+  rpc::Refusal Check(const AdmittedAttempt& attempt,
+                     const rpc::ExecuteRequest& request,
+                     Instant now) const;
 
   Identity self;
   EndpointGate& gate;
