--- a/packages/platform/http_client.cc
+++ b/packages/platform/http_client.cc
@@ -18,6 +18,8 @@
   GCancellable* cancellable = nullptr;
   GSource* timer = nullptr;
   bool timed_out = false;
+  /// Set by the client's end; used on its task only.
+  std::shared_ptr<bool> closed;
 };
 
 gboolean OnDeadline(gpointer data) {
@@ -37,6 +39,19 @@
   return HttpFailure::kUnreachable;
 }
 
+// Errors of the connection setup; any other error may come after the call was
+// sent.
+bool MaybeSent(const GError* error) {
+  for (const int code :
+       {G_IO_ERROR_CONNECTION_REFUSED, G_IO_ERROR_HOST_UNREACHABLE,
+        G_IO_ERROR_NETWORK_UNREACHABLE}) {
+    if (g_error_matches(error, G_IO_ERROR, code) != FALSE) {
+      return false;
+    }
+  }
+  return error->domain != G_RESOLVER_ERROR;
+}
+
 void StopTimer(PendingCall& pending) {
   if (pending.timer == nullptr) {
     return;
@@ -55,6 +70,7 @@
   HttpReply reply;
   if (bytes == nullptr) {
     reply.failure = FailureOf(*pending, error);
+    reply.maybe_sent = MaybeSent(error);
     g_clear_error(&error);
   } else {
     gsize size = 0;
@@ -65,7 +81,9 @@
   }
   g_object_unref(pending->message);
   g_object_unref(pending->cancellable);
-  pending->callback(std::move(reply));
+  if (!*pending->closed) {
+    pending->callback(std::move(reply));
+  }
 }
 
 void SetBody(SoupMessage* message, const HttpCall& call) {
@@ -100,6 +118,7 @@
 
 HttpClient::~HttpClient() {
   const auto close = [this] {
+    *this->closed = true;
     soup_session_abort(this->session);
     g_object_unref(this->session);
   };
@@ -136,7 +155,7 @@
   SoupMessage* message =
       soup_message_new(call.method.c_str(), call.url.c_str());
   if (message == nullptr) {
-    callback(HttpReply{HttpFailure::kInvalidUrl, 0, {}});
+    callback(HttpReply{HttpFailure::kInvalidUrl, 0, {}, false});
     return;
   }
   for (const auto& [name, value] : call.headers) {
@@ -144,8 +163,9 @@
                                  name.c_str(), value.c_str());
   }
   SetBody(message, call);
-  auto* pending = new PendingCall{std::move(callback), message,
-                                  g_cancellable_new(), nullptr, false};
+  auto* pending = new PendingCall{
+      std::move(callback), message, g_cancellable_new(), nullptr, false,
+      this->closed};
   StartTimer(pending, call.deadline, this->task.Context());
   soup_session_send_and_read_async(this->session, message, G_PRIORITY_DEFAULT,
                                    pending->cancellable, OnReply, pending);
--- a/packages/platform/http_types.h
+++ b/packages/platform/http_types.h
@@ -36,6 +36,8 @@
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;
   std::string body;
+  /// True when the body exceeded the server's limit; `body` is then empty.
+  bool body_too_large = false;
 };
 
 /// What a server answers.
@@ -62,6 +64,8 @@
   HttpFailure failure = HttpFailure::kNone;
   int status = 0;
   std::string body;
+  /// False when no connection came about, so that the call was never sent.
+  bool maybe_sent = true;
 
   /// True for a whole response with a 2xx status.
   bool Ok() const {
