--- a/packages/ledger/log_session.h
+++ b/packages/ledger/log_session.h
@@ -360,6 +360,9 @@
     if (this->Lineage().empty()) {
       this->replica.StartLineage(reply.lineage, 0);
       this->backlog.Reset(reply.lineage, 0);
+      // Until a record has been folded, an entry that holds the state of the
+      // lineage before may still write the start of this one.
+      this->lineage_start = 0;
     }
     this->record_poll.Succeeded(this->Now());
     this->FoldAll(reply.records);
@@ -722,7 +725,8 @@
                  if (!this->NoteContact(reply.failure)) {
                    this->Raise(RecoveryEvent::kStoreUnavailable);
                  } else if (reply.failure == StoreFailure::kNone &&
-                            reply.lineage == this->log_lineage) {
+                            reply.lineage == this->log_lineage &&
+                            !this->MayBeRestarted()) {
                    this->Raise(RecoveryEvent::kReplayFromStart);
                  } else {
                    this->Raise(RecoveryEvent::kNothingUsable);
@@ -730,6 +734,15 @@
                });
   }
 
+  // A log without snapshots may be new, or may have restarted without its
+  // content while other entries hold the state, which they write or append to
+  // in a moment: a process without state first asks a peer.
+  bool MayBeRestarted() const {
+    return this->Lineage().empty() &&
+           this->Now() <
+               this->started_at.After(this->settings.lineage_settle_ms);
+  }
+
   ReplicaPosition Position() const {
     return {this->Lineage(), this->AppliedOffset(), this->replica.LogTime()};
   }
--- a/packages/ledger/session_settings.h
+++ b/packages/ledger/session_settings.h
@@ -25,7 +25,9 @@
   /// The same while the replica waits for the start of a new lineage.
   std::int64_t lineage_poll_ms = 200;
   /// How long a replica proposes nothing after it has taken over a lineage, so
-  /// that a newer state can still replace the start.
+  /// that a newer state can still replace the start. Also how long a process
+  /// without state looks for a peer that has one before it replays a
+  /// log that has no snapshot.
   std::int64_t lineage_settle_ms = 1'000;
   /// How long a process without state waits for entries that have one before
   /// it builds on the content of a log restored under another lineage.
--- a/tests/ledger/log_session_test.cc
+++ b/tests/ledger/log_session_test.cc
@@ -344,6 +344,31 @@
   CHECK(fresh.State().names.size() == 50);
 }
 
+// Guards against a process that starts on a log that has just restarted empty,
+// serves an empty state and lets the log go on from it.
+TEST_CASE("holds.recovery: a restarted log is not taken for a new one") {
+  for (const bool has_peer : {false, true}) {
+    CAPTURE(has_peer);
+    World world;
+    Node holder("a", 1, world.log, world.scheduler);
+    world.scheduler.RunFor(2'000);
+    ProposeMany(holder, "n", 10);
+    world.scheduler.RunFor(2'000);
+    world.log.StartLineage(false);
+    Node fresh("b", 1, world.log, world.scheduler);
+    fresh.peer = has_peer ? &holder : nullptr;
+    world.scheduler.RunFor(900);
+    CHECK(fresh.session->Ready() == has_peer);
+    CHECK(fresh.State().names.size() == (has_peer ? 10 : 0));
+    world.scheduler.RunFor(2'000);
+    holder.plans = true;
+    world.scheduler.RunFor(10'000);
+    CHECK(fresh.session->CanPropose());
+    CHECK(fresh.Hash() == holder.Hash());
+    CHECK(fresh.divergences.empty());
+  }
+}
+
 // Guards against a difference between replicas that nobody notices.
 TEST_CASE("holds.replicas_agree: a differing hash is reported") {
   World world;
--- a/tests/ledger/simulation.h
+++ b/tests/ledger/simulation.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -208,14 +209,15 @@
 }
 
 /// One entry: a session with its own access to the log.
-struct Node {
-  using Session = LogSession<FaultyStore, NameFold, VirtualScheduler>;
-
-  Node(const std::string& instance,
-       std::uint64_t incarnation,
-       testing::LogStore& log,
-       VirtualScheduler& scheduler,
-       SessionSettings settings = {})
+template <typename Fold>
+struct BasicNode {
+  using Session = LogSession<FaultyStore, Fold, VirtualScheduler>;
+
+  BasicNode(const std::string& instance,
+            std::uint64_t incarnation,
+            testing::LogStore& log,
+            VirtualScheduler& scheduler,
+            SessionSettings settings = {})
       : scheduler(scheduler), store(log, scheduler) {
     SessionHooks hooks;
     hooks.on_divergence = [this](const Divergence& pair) {
@@ -244,8 +246,13 @@
 
   /// Proposes a name and notes the result.
   ProposalId Propose(const std::string& name) {
+    return this->Propose(name, NamedRecord(name));
+  }
+
+  /// Proposes a record and notes the result under `name`.
+  ProposalId Propose(const std::string& name, records::Record record) {
     ++this->proposed;
-    return this->session->Propose(NamedRecord(name),
+    return this->session->Propose(std::move(record),
                                   [this, name](const ProposalResult& result) {
                                     this->results[name] = result;
                                   });
@@ -258,12 +265,12 @@
            found->second.verdict == records::Verdict::kAccepted;
   }
 
-  const NameFold& State() const { return this->session->State(); }
+  const Fold& State() const { return this->session->State(); }
   std::uint64_t Hash() const { return this->session->CurrentReplica().Hash(); }
 
   VirtualScheduler& scheduler;
   FaultyStore store;
-  Node* peer = nullptr;
+  BasicNode* peer = nullptr;
   bool plans = false;
   int regressions = 0;
   int partial_answers = 0;
@@ -275,6 +282,25 @@
   std::unique_ptr<Session> session;
 };
 
+using Node = BasicNode<NameFold>;
+
+/// `data` with one byte changed, removed, or added, or cut short.
+inline std::string Mutated(std::string data, std::mt19937& random) {
+  const std::size_t at = data.empty() ? 0 : random() % data.size();
+  const char byte = static_cast<char>(random() % 256);
+  switch (data.empty() ? 0 : random() % 4) {
+    case 0:
+      return data.insert(at, 1, byte);
+    case 1:
+      return data.erase(at, 1);
+    case 2:
+      return data.substr(0, at);
+    default:
+      data[at] = byte;
+      return data;
+  }
+}
+
 }  // namespace carobrill::ledger
 
 #endif  // TESTS_LEDGER_SIMULATION_H_
