Count the entries of the peer backlog as memory

The backlog was bounded by the bytes of its records' data alone, so empty records, which are malformed but kept for peers, took memory without a limit. Each entry now counts with its own size. A limit on the number of records was ruled out: it would be a second setting for one purpose.

--- a/packages/ledger/backlog.cc
+++ b/packages/ledger/backlog.cc
@@ -19,15 +19,21 @@
     this->Reset(this->lineage, record.offset);
   }
   this->records.push_back(record);
-  this->bytes += record.data.size();
+  this->bytes += BytesOf(record);
   this->next_offset = record.offset + 1;
   while (this->bytes > this->max_bytes) {
-    this->bytes -= this->records.front().data.size();
+    this->bytes -= BytesOf(this->records.front());
     this->records.pop_front();
     ++this->first_offset;
   }
 }
 
+// The data alone would let empty records, which are malformed but kept, take
+// memory without a limit.
+std::size_t Backlog::BytesOf(const StoreRecord& record) {
+  return sizeof(StoreRecord) + record.data.size();
+}
+
 bool Backlog::Covers(const std::string& name, Offset offset) const {
   return !name.empty() && name == this->lineage &&
          offset >= this->first_offset && offset <= this->next_offset;
--- a/packages/ledger/backlog.h
+++ b/packages/ledger/backlog.h
@@ -13,7 +13,8 @@
 /// The last records of the log, kept for peers that are behind.
 class Backlog {
  public:
-  /// Keeps at most `max_bytes` of records.
+  /// Keeps at most `max_bytes` of records, the memory of their entries
+  /// included.
   explicit Backlog(std::size_t max_bytes = kDefaultMaxBytes);
 
   /// Starts over at `next_offset` of `lineage`.
@@ -33,6 +34,8 @@
  private:
   static constexpr std::size_t kDefaultMaxBytes = 8 * 1024 * 1024;
 
+  static std::size_t BytesOf(const StoreRecord& record);
+
   std::size_t max_bytes;
   std::string lineage;
   Offset first_offset = 0;
