--- a/packages/agent/gang_member.cc
+++ b/packages/agent/gang_member.cc
@@ -138,6 +138,7 @@
     this->Stop(false, now);
     return;
   }
+  this->watcher_answered = true;
   this->watcher_heard_at = std::max(this->watcher_heard_at, sent_at);
   if (this->state == MemberState::kEnded) {
     this->end_known = this->end_known || sent_at >= this->ended_at;
@@ -290,9 +291,11 @@
   request.set_attempt(this->key.attempt);
   request.set_member(this->key.member);
   request.set_phase(this->Phase());
-  const bool told = request.phase() == rpc::GANG_PHASE_RUNNING ||
-                    request.phase() == rpc::GANG_PHASE_STOPPING;
-  if (!told) {
+  // The worker's name is left out of most heartbeats, as it is always the same.
+  const bool is_final = request.phase() != rpc::GANG_PHASE_STARTING &&
+                        request.phase() != rpc::GANG_PHASE_RUNNING &&
+                        request.phase() != rpc::GANG_PHASE_STOPPING;
+  if (is_final || !this->watcher_answered) {
     request.set_worker(this->self.worker.value);
     request.set_checkpoint(this->checkpoint);
   }
--- a/packages/agent/gang_member.h
+++ b/packages/agent/gang_member.h
@@ -114,6 +114,7 @@
   StartResult start_result = StartResult::kUnknown;
   /// When the last heartbeat that the watcher answered was sent.
   Instant watcher_heard_at;
+  bool watcher_answered = false;
   Instant renew_at;
   Instant alive_at;
   Instant stop_at = Instant::Never();
--- a/packages/daemon/agent_gangs.cc
+++ b/packages/daemon/agent_gangs.cc
@@ -27,6 +27,7 @@
   switch (failure) {
     case platform::PlatformFailure::kNone:
       return agent::StartResult::kStarted;
+    case platform::PlatformFailure::kNotSent:
     case platform::PlatformFailure::kRefused:
       return agent::StartResult::kRefused;
     default:
--- a/packages/daemon/agent_requests.cc
+++ b/packages/daemon/agent_requests.cc
@@ -24,6 +24,8 @@
   if (reply.Ok()) {
     outcome.ran = rpc::RAN_YES;
     outcome.answer = reply.value;
+  } else if (reply.failure == platform::PlatformFailure::kNotSent) {
+    outcome.ran = rpc::RAN_NO;
   }
   return outcome;
 }
--- a/packages/daemon/agent_role.cc
+++ b/packages/daemon/agent_role.cc
@@ -1,5 +1,6 @@
 #include "packages/daemon/agent_role.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -24,11 +25,11 @@
 // cannot be told from one that was delivered.
 constexpr std::int64_t kLingerMs = 1'000;
 
-// After the shutdown limit: time for checkpoints, the end of the tasks and the
-// reports to entries.
+// Time for checkpoints, the end of the tasks and the reports to entries, before
+// the shutdown limit ends the process. At most half of the limit is used so.
 constexpr std::int64_t kStopMs = 15'000;
 
-// Time for the last replies to leave.
+// Time for the last replies to leave, before the shutdown limit.
 constexpr std::int64_t kCloseMs = 1'000;
 
 std::string JoinAddress(const std::string& address, std::uint16_t port) {
@@ -50,7 +51,7 @@
   return charts;
 }
 
-/// The parts of a started role. Made, used and ended on the task.
+/// The parts of a started role. Used and ended on the task.
 class Parts {
  public:
   Parts(const Settings& settings, Task& task, const Charts& charts)
@@ -106,9 +107,10 @@
     Log(LogLevel::kInfo, "shutdown: refusing new work");
     this->drained = std::move(on_drained);
     this->linger_until = now.After(kLingerMs);
-    this->stop_at =
-        now.After(this->context.settings.instance.shutdown_limit_ms);
-    this->give_up_at = this->stop_at.After(kStopMs);
+    const std::int64_t limit_ms =
+        this->context.settings.instance.shutdown_limit_ms;
+    this->stop_at = now.After(limit_ms - std::min(kStopMs, limit_ms / 2));
+    this->give_up_at = now.After(limit_ms - std::min(kCloseMs, limit_ms / 4));
     this->context.gate.SetLeaving(agent::LeaveCause::kShutdown, true);
     this->Tick();
   }
@@ -210,8 +212,8 @@
     return status;
   }
 
-  // Running work goes on until the shutdown limit. "Gone" is announced when
-  // nothing runs any more, and the server closes after that.
+  // Running work goes on until the shutdown limit is near. "Gone" is announced
+  // when nothing runs any more, and the server closes after that.
   void TickShutdown(Instant now) {
     if (!this->drained || this->closing) {
       return;
@@ -272,8 +274,7 @@
   Result<void> Start() {
     BOOST_LEAF_AUTO(charts,
                     LoadCharts(this->settings.instance.charts_directory));
-    this->task.Run(
-        [&] { this->parts.emplace(this->settings, this->task, charts); });
+    this->parts.emplace(this->settings, this->task, charts);
     const InstanceSettings& instance = this->settings.instance;
     BOOST_LEAF_ASSIGN(
         this->rpc_port,
--- a/packages/platform/platform_reply.cc
+++ b/packages/platform/platform_reply.cc
@@ -22,9 +22,10 @@
       return reply.Ok() ? PlatformFailure::kNone
                         : FailureOfStatus(reply.status);
     case HttpFailure::kInvalidUrl:
-      return PlatformFailure::kRefused;
+      return PlatformFailure::kNotSent;
     case HttpFailure::kUnreachable:
-      return PlatformFailure::kUnreachable;
+      return reply.maybe_sent ? PlatformFailure::kUnreachable
+                              : PlatformFailure::kNotSent;
     case HttpFailure::kTimeout:
       return PlatformFailure::kTimeout;
     case HttpFailure::kTruncated:
--- a/packages/platform/platform_reply.h
+++ b/packages/platform/platform_reply.h
@@ -12,6 +12,8 @@
 /// Why a call to a worker or an endpoint brought no usable answer.
 enum class PlatformFailure {
   kNone,
+  /// The call certainly did not reach the server.
+  kNotSent,
   /// A 4xx status: the call was understood and had no effect.
   kRefused,
   /// Another status: the call may have had an effect.
@@ -28,6 +30,7 @@
 constexpr auto NamesOf(PlatformFailure) {
   return MakeNameTable<PlatformFailure>({
       {PlatformFailure::kNone, "none"},
+      {PlatformFailure::kNotSent, "not_sent"},
       {PlatformFailure::kRefused, "refused"},
       {PlatformFailure::kFailed, "failed"},
       {PlatformFailure::kUnreachable, "unreachable"},
--- /dev/null
+++ b/packages/testing/fake_worker.cc
@@ -0,0 +1,250 @@
+#include "packages/testing/fake_worker.h"
+
+#include <algorithm>
+
+namespace carobrill::testing {
+namespace {
+
+constexpr std::int64_t kTickMs = 10;
+constexpr std::int64_t kForgetMs = 60'000;
+
+platform::HttpResponse Reply(int status, const nlohmann::json& body) {
+  return {status, body.dump(), "application/json", {}};
+}
+
+}  // namespace
+
+FakeWorker::FakeWorker(FakeWorkerSize size)
+    : size(std::move(size)),
+      control({{"fail_start", false},
+               {"fail_after_ms", -1},
+               {"delay_ms", 0},
+               {"hang", false},
+               {"freeze_usage", false},
+               {"usage_lag_ms", 2'000},
+               {"usage_percent", 100}}),
+      ticked_at(BootClock{}.Now()) {
+  this->task.PostEvery(kTickMs, [this] { this->Tick(); });
+}
+
+void FakeWorker::Handle(const platform::HttpRequest& request,
+                        const platform::HttpResponder& respond) {
+  this->task.Post([this, request, respond] {
+    const bool own = request.path == "/control" || request.path == "/stats";
+    if (own) {
+      respond(this->Answer(request));
+    } else if (this->control["hang"].get<bool>()) {
+      this->held.emplace_back(request, respond);
+    } else {
+      this->HandleNow(request, respond);
+    }
+  });
+}
+
+void FakeWorker::HandleNow(const platform::HttpRequest& request,
+                           const platform::HttpResponder& respond) {
+  const auto delay_ms = this->control["delay_ms"].get<std::int64_t>();
+  auto response = this->Answer(request);
+  this->task.PostAt(BootClock{}.Now().After(delay_ms),
+                    [respond, response] { respond(response); });
+}
+
+platform::HttpResponse FakeWorker::Answer(
+    const platform::HttpRequest& request) {
+  this->Tick();
+  const Json body = Json::parse(request.body, nullptr, false);
+  const bool post = request.method == "POST";
+  if (request.path == "/v1/worker") {
+    return Reply(200, {{"worker", this->size.worker},
+                       {"cores", this->size.cores},
+                       {"memory_mb", this->size.memory_mb},
+                       {"accelerators", this->size.accelerators}});
+  }
+  if (request.path == "/v1/tasks") {
+    return post ? this->Start(body) : Reply(200, this->List());
+  }
+  if (request.path == "/stats") {
+    return Reply(200, this->Stats());
+  }
+  if (request.path == "/control" && post) {
+    return this->Control(body);
+  }
+  return this->ToTask(request.path, body);
+}
+
+platform::HttpResponse FakeWorker::Start(const Json& body) {
+  if (!body.is_object() || !body.contains("task")) {
+    return Reply(400, {});
+  }
+  if (this->control["fail_start"].get<bool>()) {
+    return Reply(500, {});
+  }
+  const auto name = body["task"].get<std::string>();
+  if (this->starts.contains(name)) {
+    return Reply(200, {});
+  }
+  ++this->starts[name];
+  const Instant now = BootClock{}.Now();
+  RunningTask& added = this->tasks[name];
+  added.cores = body.value("cores", 0.0);
+  added.memory_mb = body.value("memory_mb", 0);
+  added.accelerators = body.value("accelerators", std::set<std::int64_t>{});
+  // A checkpoint is "NAME@MS": the run goes on after so much work.
+  const auto checkpoint = body.value("checkpoint", std::string());
+  const auto mark = checkpoint.rfind('@');
+  if (mark != std::string::npos) {
+    added.done_ms = std::stod(checkpoint.substr(mark + 1));
+  }
+  added.left_ms = body.value("run_ms", 0.0) - added.done_ms;
+  added.lease_until = now.After(body.value("lease_ms", std::int64_t{0}));
+  added.started_at = now;
+  added.sampled_at = now;
+  this->NotePeak();
+  return Reply(201, {});
+}
+
+platform::HttpResponse FakeWorker::ToTask(const std::string& path,
+                                          const Json& body) {
+  const auto slash = path.rfind('/');
+  const std::string prefix = "/v1/tasks/";
+  if (!path.starts_with(prefix) || slash < prefix.size()) {
+    return Reply(404, {});
+  }
+  const auto found =
+      this->tasks.find(path.substr(prefix.size(), slash - prefix.size()));
+  if (found == this->tasks.end()) {
+    return Reply(404, {});
+  }
+  const std::string verb = path.substr(slash + 1);
+  RunningTask& target = found->second;
+  if (target.state != "running") {
+    return Reply(verb == "stop" ? 200 : 409, {});
+  }
+  if (verb == "lease") {
+    target.lease_until =
+        BootClock{}.Now().After(body.value("lease_ms", std::int64_t{0}));
+  } else if (verb == "stop") {
+    this->End(target, "stopped");
+  } else if (verb == "checkpoint") {
+    target.checkpoint =
+        found->first + "@" +
+        std::to_string(static_cast<std::int64_t>(target.done_ms));
+  } else if (verb == "throttle") {
+    target.share = body.value("share", 1.0);
+  } else {
+    return Reply(404, {});
+  }
+  return Reply(200, {});
+}
+
+// A hung worker that goes on handles what it received in the meantime.
+platform::HttpResponse FakeWorker::Control(const Json& body) {
+  if (!body.is_object()) {
+    return Reply(400, {});
+  }
+  this->control.update(body);
+  if (!this->control["hang"].get<bool>()) {
+    auto released = std::move(this->held);
+    this->held.clear();
+    for (const auto& [request, respond] : released) {
+      this->HandleNow(request, respond);
+    }
+  }
+  return Reply(200, this->control);
+}
+
+nlohmann::json FakeWorker::List() {
+  const Instant now = BootClock{}.Now();
+  const auto lag_ms = this->control["usage_lag_ms"].get<std::int64_t>();
+  const double share = this->control["usage_percent"].get<double>() / 100;
+  Json list = Json::array();
+  for (auto& [name, one] : this->tasks) {
+    if (!this->control["freeze_usage"].get<bool>()) {
+      one.sampled_at = std::max(one.started_at, now.After(-lag_ms));
+    }
+    list.push_back(
+        {{"task", name},
+         {"state", one.state},
+         {"checkpoint", one.checkpoint},
+         {"usage",
+          {{"cores", one.cores * share},
+           {"memory_mb", static_cast<std::int64_t>(
+                             static_cast<double>(one.memory_mb) * share)},
+           {"age_ms", now.RemainingMs(one.sampled_at)}}}});
+  }
+  return list;
+}
+
+nlohmann::json FakeWorker::Stats() const {
+  std::int64_t running = 0;
+  std::int64_t started = 0;
+  for (const auto& [name, one] : this->tasks) {
+    running += one.state == "running" ? 1 : 0;
+  }
+  for (const auto& [name, count] : this->starts) {
+    started += count;
+  }
+  return {{"started", started},
+          {"running", running},
+          {"ended", this->ends},
+          {"tasks", this->starts},
+          {"peak",
+           {{"accelerators", this->peak_accelerators},
+            {"cores", this->peak_cores},
+            {"memory_mb", this->peak_memory_mb},
+            {"tasks_per_accelerator", this->peak_sharing}}}};
+}
+
+void FakeWorker::Tick() {
+  const Instant now = BootClock{}.Now();
+  const auto passed = static_cast<double>(now.ms - this->ticked_at.ms);
+  const auto fail_after = this->control["fail_after_ms"].get<std::int64_t>();
+  this->ticked_at = now;
+  for (auto& [name, one] : this->tasks) {
+    if (one.state != "running") {
+      continue;
+    }
+    one.left_ms -= passed * one.share;
+    one.done_ms += passed * one.share;
+    if (now >= one.lease_until) {
+      this->End(one, "lapsed");
+    } else if (fail_after >= 0 && now >= one.started_at.After(fail_after)) {
+      this->End(one, "failed");
+    } else if (one.left_ms <= 0) {
+      this->End(one, "succeeded");
+    }
+  }
+  std::erase_if(this->tasks, [now](const auto& item) {
+    return item.second.state != "running" &&
+           now >= item.second.ended_at.After(kForgetMs);
+  });
+}
+
+void FakeWorker::NotePeak() {
+  std::int64_t accelerators = 0;
+  std::int64_t memory_mb = 0;
+  double cores = 0;
+  std::map<std::int64_t, std::int64_t> sharing;
+  for (const auto& [name, one] : this->tasks) {
+    if (one.state != "running") {
+      continue;
+    }
+    cores += one.cores;
+    memory_mb += one.memory_mb;
+    accelerators += static_cast<std::int64_t>(one.accelerators.size());
+    for (const auto number : one.accelerators) {
+      this->peak_sharing = std::max(this->peak_sharing, ++sharing[number]);
+    }
+  }
+  this->peak_cores = std::max(this->peak_cores, cores);
+  this->peak_memory_mb = std::max(this->peak_memory_mb, memory_mb);
+  this->peak_accelerators = std::max(this->peak_accelerators, accelerators);
+}
+
+void FakeWorker::End(RunningTask& target, const std::string& state) {
+  target.state = state;
+  target.ended_at = BootClock{}.Now();
+  ++this->ends[state];
+}
+
+}  // namespace carobrill::testing
