--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -34,9 +34,15 @@
   target_link_libraries(${target} ${scope} ${ARG_LINKS} Threads::Threads)
 endfunction()
 
-# carobrill_program(NAME PACKAGE [INSTALL]): builds packages/PACKAGE/main_NAME.cc.
+# carobrill_program(NAME PACKAGE [INSTALL] [NEEDS headers...]): builds
+# packages/PACKAGE/main_NAME.cc, if it and the needed headers exist.
 function(carobrill_program name package)
-  cmake_parse_arguments(ARG "INSTALL" "" "" ${ARGN})
+  cmake_parse_arguments(ARG "INSTALL" "" "NEEDS" ${ARGN})
+  foreach(header ${ARG_NEEDS})
+    if(NOT EXISTS ${CMAKE_SOURCE_DIR}/${header})
+      return()
+    endif()
+  endforeach()
   set(source ${CMAKE_SOURCE_DIR}/packages/${package}/main_${name}.cc)
   if(NOT EXISTS ${source})
     return()
