Accept bursts of connections, and test the client against the API

Cause: libsoup's listen call allows 10 connections that are not accepted yet. The server now listens on a socket of its own with a backlog of 1024. The new test of the backlog fails without the change.

A repeated header is now one list of its values, so that two Idempotency-Keys are refused instead of one of them being unseen. Answers of the API count in their metrics without the lock of the registry.

The client's lists and commands run against the API with a fake backend, which holds the names of the fields on both sides together. Pages list all metrics, errors and exit codes, held by tests.

--- a/packages/cli/run.cc
+++ b/packages/cli/run.cc
@@ -1,5 +1,6 @@
 #include "packages/cli/run.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::int64_t kDefaultTimeoutMs = 60'000;
+constexpr std::int64_t kAnswerMarginMs = 5'000;
 constexpr std::int64_t kMaxTimeoutMs = 24LL * 3600 * 1000;
 constexpr const char* kDefaultEntry = "http://127.0.0.1:8080";
 constexpr const char* kEntriesVariable = "CAROBRILL_ENTRIES";
@@ -75,9 +77,20 @@
   return CliExit::kOk;
 }
 
-Result<CliExit> RunWithEntry(const CommandLine& line) {
+// An answer may take as long as its deadline; giving up earlier would leave the
+// outcome open for nothing.
+Result<std::int64_t> TimeoutOf(const CommandLine& line) {
   BOOST_LEAF_AUTO(timeout, line.Integer("timeout-ms", 1, kMaxTimeoutMs));
-  EntryCaller caller(EntriesOf(line), timeout.value_or(kDefaultTimeoutMs));
+  if (timeout.has_value() || line.command->name != "request") {
+    return timeout.value_or(kDefaultTimeoutMs);
+  }
+  BOOST_LEAF_AUTO(deadline, line.Integer("deadline-ms", 0, kMaxTimeoutMs));
+  return std::max(kDefaultTimeoutMs, deadline.value_or(0) + kAnswerMarginMs);
+}
+
+Result<CliExit> RunWithEntry(const CommandLine& line) {
+  BOOST_LEAF_AUTO(timeout_ms, TimeoutOf(line));
+  EntryCaller caller(EntriesOf(line), timeout_ms);
   const Session session{line, caller};
   const std::string_view name = line.command->name;
   if (auto result = RunListCommand(name, session)) {
--- a/packages/daemon/api_exchange.cc
+++ b/packages/daemon/api_exchange.cc
@@ -6,11 +6,6 @@
 #include "packages/daemon/api_codec.h"
 
 namespace carobrill::daemon {
-namespace {
-
-constexpr double kMsPerSecond = 1000.0;
-
-}  // namespace
 
 void DrainGate::Enter() {
   const std::lock_guard lock(this->mutex);
@@ -56,12 +51,12 @@
 
 ApiExchange::ApiExchange(platform::HttpResponder respond,
                          std::shared_ptr<DrainGate> gate,
-                         MetricsRegistry& metrics,
+                         std::shared_ptr<ApiMetrics> metrics,
                          ApiRoute route,
                          std::string caller_id)
     : respond(std::move(respond)),
       gate(std::move(gate)),
-      metrics(metrics),
+      metrics(std::move(metrics)),
       route(route),
       caller_id(std::move(caller_id)),
       started(BootClock{}.Now()) {
@@ -87,19 +82,8 @@
   if (this->gate->Draining()) {
     response.headers["Connection"] = "close";
   }
-  const std::string route_name(NameOf(this->route));
-  this->metrics
-      .GetCounter(
-          "carobrill_http_requests_total",
-          "HTTP requests answered, by route and status.",
-          {{"route", route_name}, {"status", std::to_string(response.status)}})
-      .Increment();
-  const auto elapsed_ms = BootClock{}.Now().ms - this->started.ms;
-  this->metrics
-      .GetHistogram("carobrill_http_request_duration_seconds",
-                    "Time from arrival to answer of HTTP requests.",
-                    LatencyBounds(), {{"route", route_name}})
-      .Observe(static_cast<double>(elapsed_ms) / kMsPerSecond);
+  this->metrics->CountAnswer(this->route, response.status,
+                             BootClock{}.Now().ms - this->started.ms);
   this->respond(std::move(response));
   this->gate->Leave();
 }
--- a/packages/daemon/api_exchange.h
+++ b/packages/daemon/api_exchange.h
@@ -8,8 +8,8 @@
 #include <mutex>
 #include <string>
 
-#include "packages/core/metrics.h"
 #include "packages/core/time.h"
+#include "packages/daemon/api_metrics.h"
 #include "packages/daemon/api_route.h"
 #include "packages/daemon/api_types.h"
 #include "packages/platform/http_types.h"
@@ -52,7 +52,7 @@
  public:
   ApiExchange(platform::HttpResponder respond,
               std::shared_ptr<DrainGate> gate,
-              MetricsRegistry& metrics,
+              std::shared_ptr<ApiMetrics> metrics,
               ApiRoute route,
               std::string caller_id);
   ~ApiExchange();
@@ -69,7 +69,7 @@
  private:
   platform::HttpResponder respond;
   std::shared_ptr<DrainGate> gate;
-  MetricsRegistry& metrics;
+  std::shared_ptr<ApiMetrics> metrics;
   ApiRoute route;
   std::string caller_id;
   Instant started;
--- a/packages/daemon/http_api.h
+++ b/packages/daemon/http_api.h
@@ -15,6 +15,7 @@
 #include "packages/core/time.h"
 #include "packages/daemon/api_codec.h"
 #include "packages/daemon/api_exchange.h"
+#include "packages/daemon/api_metrics.h"
 #include "packages/daemon/api_route.h"
 #include "packages/daemon/api_types.h"
 #include "packages/platform/http_types.h"
@@ -88,6 +89,7 @@
           std::string id_prefix)
       : backend(backend),
         metrics(metrics),
+        api_metrics(std::make_shared<ApiMetrics>(metrics)),
         limits(limits),
         id_prefix(std::move(id_prefix)),
         gate(std::make_shared<DrainGate>()) {}
@@ -99,7 +101,7 @@
     const auto* found = std::get_if<RouteMatch>(&match);
     const ApiRoute route = found == nullptr ? ApiRoute::kUnknown : found->route;
     auto exchange = std::make_shared<ApiExchange>(
-        std::move(respond), this->gate, this->metrics, route,
+        std::move(respond), this->gate, this->api_metrics, route,
         detail::CallerIdOf(request));
     if (found == nullptr) {
       exchange->Send(std::get<Problem>(match));
@@ -308,6 +310,7 @@
 
   Backend& backend;
   MetricsRegistry& metrics;
+  std::shared_ptr<ApiMetrics> api_metrics;
   ApiLimits limits;
   std::string id_prefix;
   std::shared_ptr<DrainGate> gate;
--- a/packages/platform/http_server.cc
+++ b/packages/platform/http_server.cc
@@ -9,6 +9,7 @@
 namespace carobrill::platform {
 namespace {
 
+constexpr int kListenBacklog = 1024;
 constexpr const char* kBodySizeKey = "carobrill-body-size";
 
 /// A request that waits for its response. Used on the server's task only.
@@ -36,7 +37,10 @@
 
 void AddHeader(const char* name, const char* value, gpointer data) {
   auto* request = static_cast<HttpRequest*>(data);
-  request->headers[LowerCase(name)] = value;
+  // A repeated header is one list (RFC 9110, 5.3), so that no check sees only
+  // one of its values.
+  std::string& known = request->headers[LowerCase(name)];
+  known += (known.empty() ? "" : ", ") + std::string(value);
 }
 
 void AddQuery(gpointer name, gpointer value, gpointer data) {
@@ -174,6 +178,25 @@
   delete static_cast<HandlerData*>(data);
 }
 
+// soup_server_listen() allows 10 connections that are not accepted yet; more
+// at once are refused, which a burst of callers reaches.
+bool ListenOn(SoupServer* server, GSocketAddress* address, GError** error) {
+  GSocket* socket =
+      g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                   G_SOCKET_PROTOCOL_TCP, error);
+  if (socket == nullptr) {
+    return false;
+  }
+  g_socket_set_listen_backlog(socket, kListenBacklog);
+  const bool listening =
+      g_socket_bind(socket, address, /*allow_reuse=*/TRUE, error) != FALSE &&
+      g_socket_listen(socket, error) != FALSE &&
+      soup_server_listen_socket(server, socket, SoupServerListenOptions{},
+                                error) != FALSE;
+  g_object_unref(socket);
+  return listening;
+}
+
 std::uint16_t BoundPort(SoupServer* server) {
   GSList* uris = soup_server_get_uris(server);
   const int port =
@@ -215,19 +238,18 @@
   std::optional<ListenError> failure;
   std::uint16_t bound = 0;
   this->RunOnTask([&] {
-    GError* error = nullptr;
     GSocketAddress* socket_address =
         g_inet_socket_address_new_from_string(address.c_str(), port);
     if (socket_address == nullptr) {
       failure = ListenError{address, port, "not an IP address"};
       return;
     }
-    if (soup_server_listen(this->server, socket_address,
-                           SoupServerListenOptions{}, &error) == FALSE) {
+    GError* error = nullptr;
+    if (ListenOn(this->server, socket_address, &error)) {
+      bound = BoundPort(this->server);
+    } else {
       failure = ListenError{address, port, error->message};
       g_clear_error(&error);
-    } else {
-      bound = BoundPort(this->server);
     }
     g_object_unref(socket_address);
   });
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -11,7 +11,7 @@
 #include "packages/cli/command_table.h"
 #include "packages/cli/job_commands.h"
 #include "packages/cli/output.h"
-#include "packages/cli/run.h"
+#include "tests/cli/capture.h"
 #include "tests/cli/fake_entry.h"
 
 namespace carobrill::cli {
@@ -22,51 +22,6 @@
 
 constexpr const char* kClosed = "http://127.0.0.1:1";
 
-struct Outcome {
-  CliExit exit = CliExit::kInternal;
-  std::string out;
-  std::string err;
-};
-
-/// Sends one stream of the process into a file while it lives.
-class Capture {
- public:
-  explicit Capture(FILE* stream)
-      : stream(stream), file(std::tmpfile()), saved(dup(fileno(stream))) {
-    std::fflush(stream);
-    dup2(fileno(this->file), fileno(stream));
-  }
-
-  std::string Finish() {
-    std::fflush(this->stream);
-    dup2(this->saved, fileno(this->stream));
-    close(this->saved);
-    std::rewind(this->file);
-    std::string text;
-    for (int c = std::fgetc(this->file); c != EOF; c = std::fgetc(this->file)) {
-      text += static_cast<char>(c);
-    }
-    std::fclose(this->file);
-    return text;
-  }
-
- private:
-  FILE* stream;
-  FILE* file;
-  int saved;
-};
-
-Outcome RunWords(Words words) {
-  words.insert(words.begin(), "carobrill");
-  Capture out(stdout);
-  Capture err(stderr);
-  Outcome outcome;
-  outcome.exit = Run(words);
-  outcome.err = err.Finish();
-  outcome.out = out.Finish();
-  return outcome;
-}
-
 std::string ProblemBody(const std::string& name, const std::string& ran) {
   return json{{"type", "urn:carobrill:error:" + name},
               {"title", "Title"},
--- a/tests/daemon/fake_backend.h
+++ b/tests/daemon/fake_backend.h
@@ -34,13 +34,13 @@
     reply(Problem{ApiError::kUnknownJob, command.job.value});
   }
   void GetJob(JobId job, AnswerCallback<JobView> reply) {
-    JobView view;
-    view.job = job;
+    JobView view = this->job;
+    view.job = std::move(job);
     reply(view);
   }
   void ListJobs(JobQuery query, AnswerCallback<Page<JobView>> reply) {
     this->last_query = std::move(query);
-    reply(Page<JobView>{{JobView{}}, "next"});
+    reply(Page<JobView>{{this->job}, this->next_page});
   }
   void GetRules(AnswerCallback<RulesView> reply) { reply(RulesView{}); }
   void Publish(PublishRules command, AnswerCallback<RulesView> reply) {
@@ -55,22 +55,22 @@
   }
   void ListRuleVersions(PageQuery,
                         AnswerCallback<Page<RuleVersionView>> reply) {
-    reply(Page<RuleVersionView>{});
+    reply(Page<RuleVersionView>{{this->version}, ""});
   }
   void ListAccounts(PageQuery, AnswerCallback<Page<AccountView>> reply) {
-    reply(Page<AccountView>{{AccountView{}}, ""});
+    reply(Page<AccountView>{{this->account}, ""});
   }
   void ListWorkers(PageQuery, AnswerCallback<Page<WorkerView>> reply) {
-    reply(Page<WorkerView>{{WorkerView{}}, ""});
+    reply(Page<WorkerView>{{this->worker}, ""});
   }
   void ListEndpoints(PageQuery, AnswerCallback<Page<EndpointView>> reply) {
-    reply(Page<EndpointView>{{EndpointView{}}, ""});
+    reply(Page<EndpointView>{{this->endpoint}, ""});
   }
   void ListInstances(PageQuery, AnswerCallback<Page<InstanceView>> reply) {
-    reply(Page<InstanceView>{{InstanceView{}}, ""});
+    reply(Page<InstanceView>{{this->instance}, ""});
   }
   void ListAudit(PageQuery, AnswerCallback<Page<AuditView>> reply) {
-    reply(Page<AuditView>{{AuditView{}}, ""});
+    reply(Page<AuditView>{{this->change}, ""});
   }
   void SetWorkerDrain(DrainCommand command, AnswerCallback<WorkerView> reply) {
     WorkerView view;
@@ -83,6 +83,14 @@
   std::vector<OpenRequest> requests;
   std::vector<JobCommand> jobs;
   JobQuery last_query;
+  std::string next_page;
+  JobView job;
+  RuleVersionView version;
+  AccountView account;
+  WorkerView worker;
+  EndpointView endpoint;
+  InstanceView instance;
+  AuditView change;
   Readiness readiness{true, ""};
 };
 
--- a/tests/daemon/http_api_test.cc
+++ b/tests/daemon/http_api_test.cc
@@ -209,6 +209,7 @@
 TEST_CASE("lists are paged and filtered") {
   // Guards against a list that is cut without a word.
   Harness harness;
+  harness.backend.next_page = "next";
   const auto response = harness.CallNow("GET", "/v1/jobs", "", {},
                                         {{"limit", "10"},
                                          {"after", "c"},
@@ -406,7 +407,11 @@
     call.deadline = BootClock{}.Now().After(20'000);
     client.Send(call, [&, i](platform::HttpReply reply) {
       const auto body = json::parse(reply.body, nullptr, false);
-      answers[i] = body.is_object() ? body.value("answer", "") : "";
+      // What came instead of an answer shows in the failure of the check.
+      answers[i] = body.is_object() && body.contains("answer")
+                       ? body.value("answer", "")
+                       : std::string(NameOf(reply.failure)) + " " +
+                             std::to_string(reply.status) + " " + reply.body;
       ++answered;
     });
   }
--- /dev/null
+++ b/tests/daemon/operations_pages_test.cc
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+#include "packages/daemon/api_error.h"
+#include "packages/daemon/daemon_options.h"
+
+namespace carobrill::daemon {
+namespace {
+
+const std::string kRoot = CAROBRILL_SOURCE_DIRECTORY;
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream stream(path);
+  REQUIRE_MESSAGE(stream.is_open(), path);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+TEST_CASE("docs/operations/metrics.md lists all metrics") {
+  // Guards against metrics that operators do not hear of.
+  const std::string page = ReadAll(kRoot + "/docs/operations/metrics.md");
+  const std::regex literal("\"(carobrill_[a-z0-9_]+)\"");
+  std::set<std::string> names;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(kRoot + "/packages/daemon")) {
+    if (entry.path().extension() != ".cc") {
+      continue;
+    }
+    const std::string source = ReadAll(entry.path().string());
+    for (std::sregex_iterator found(source.begin(), source.end(), literal), end;
+         found != end; ++found) {
+      names.insert((*found)[1]);
+    }
+  }
+  CHECK(names.size() >= 2);
+  for (const auto& name : names) {
+    CHECK_MESSAGE(page.find("| `" + name + "` |") != std::string::npos, name);
+  }
+}
+
+TEST_CASE("docs/operations/api-errors.md lists all errors") {
+  // Guards against callers that meet an error they cannot look up.
+  const std::string page = ReadAll(kRoot + "/docs/operations/api-errors.md");
+  for (const auto& [error, name] : NamesOf(ApiError{}).entries) {
+    const auto info = InfoOf(error);
+    std::ostringstream row;
+    row << "| `" << name << "` | " << info.status << " | " << NameOf(info.ran)
+        << " | " << info.title << " |";
+    CHECK_MESSAGE(page.find(row.str()) != std::string::npos, row.str());
+  }
+}
+
+TEST_CASE("the pages name the exit codes of the daemon") {
+  // Guards against supervisors that are set up by a wrong table.
+  const std::string page = ReadAll(kRoot + "/docs/operations/exit-codes.md");
+  const std::string manual = ReadAll(kRoot + "/man/carobrilld.8");
+  const std::string help = DaemonHelp();
+  for (const auto& [code, meaning] : NamesOf(ExitCode{}).entries) {
+    const std::string number = std::to_string(static_cast<int>(code));
+    const std::string words(meaning);
+    CHECK_MESSAGE(
+        page.find("| " + number + " | " + words + " |") != std::string::npos,
+        words);
+    CHECK(manual.find(".B " + number + "\n" + words) != std::string::npos);
+    CHECK(help.find("  " + number + "  " + words) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace carobrill::daemon
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -1,4 +1,10 @@
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <rapidcheck.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <string>
@@ -114,6 +120,125 @@
   CHECK(client.SendAndWait(call).body == "b");
 }
 
+/// Sends raw bytes on a new connection and returns what comes back within
+/// `limit_ms`, up to the end of the connection.
+std::string SendRaw(std::uint16_t port,
+                    const std::string& bytes,
+                    int limit_ms) {
+  const int connection = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  REQUIRE(connect(connection, reinterpret_cast<sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  std::string received;
+  char buffer[4096];
+  pollfd polled = {connection, POLLIN, 0};
+  while (poll(&polled, 1, limit_ms) > 0) {
+    const auto size = recv(connection, buffer, sizeof(buffer), 0);
+    if (size <= 0) {
+      break;
+    }
+    received.append(buffer, static_cast<std::size_t>(size));
+  }
+  close(connection);
+  return received;
+}
+
+TEST_CASE("a repeated header is seen with all its values") {
+  // Guards against a second Idempotency-Key that no check sees.
+  Task task("server");
+  HttpServer server(task, [](const HttpRequest& request, auto respond) {
+    HttpResponse response;
+    response.body = request.headers.at("idempotency-key");
+    response.headers["Connection"] = "close";
+    respond(response);
+  });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  const auto answer = SendRaw(*port,
+                              "GET / HTTP/1.1\r\nHost: a\r\n"
+                              "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
+                              "\r\n",
+                              5'000);
+  CHECK(answer.ends_with("a, b"));
+}
+
+TEST_CASE("a server outlives bytes that are not HTTP") {
+  // Guards against a caller that can end the process.
+  Task task("server");
+  Task client_task("client");
+  HttpServer server(task, [](const HttpRequest& request, auto respond) {
+    HttpResponse response;
+    response.body = request.body;
+    respond(response);
+  });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  CHECK(rc::check([&] {
+    std::string bytes =
+        "POST /v1/jobs?a=b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    const auto edits = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+      if (*rc::gen::inRange(0, 3) == 0) {
+        bytes.erase(at, *rc::gen::inRange<std::size_t>(1, 10));
+      } else {
+        bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+      }
+      RC_PRE(!bytes.empty());
+    }
+    SendRaw(*port, bytes, 1);
+  }));
+  HttpClient client(client_task);
+  HttpCall call;
+  call.method = "POST";
+  call.url = UrlOf(*port, "/");
+  call.body = "still here";
+  CHECK(client.SendAndWait(call).body == "still here");
+}
+
+TEST_CASE("a burst of connections is accepted") {
+  // Guards against callers that are refused because the server has not
+  // accepted the connections of others yet.
+  Task task("server");
+  HttpServer server(task, [](const HttpRequest&, auto respond) {
+    HttpResponse response;
+    response.headers["Connection"] = "close";
+    respond(response);
+  });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  constexpr int kBurst = 200;
+  int connected = 0;
+  // The server accepts nothing while its task is busy.
+  task.Run([&] {
+    std::vector<pollfd> connections;
+    connections.reserve(kBurst);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(*port);
+    for (int i = 0; i < kBurst; ++i) {
+      const int connection = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(connection, reinterpret_cast<sockaddr*>(&address),
+              sizeof(address));
+      connections.push_back({connection, POLLOUT, 0});
+    }
+    // Below 1 s, after which the system would try again.
+    g_usleep(200'000);
+    poll(connections.data(), connections.size(), 0);
+    for (const auto& connection : connections) {
+      connected += connection.revents == POLLOUT ? 1 : 0;
+      close(connection.fd);
+    }
+  });
+  CHECK(connected == kBurst);
+}
+
 TEST_CASE("a server is idle once the last response is written") {
   // Guards against a shutdown that cuts off a response.
   Task server_task("server");
