--- a/tests/daemon/operations_pages_test.cc
+++ b/tests/daemon/operations_pages_test.cc
@@ -62,13 +62,16 @@
   const std::string manual = ReadAll(kRoot + "/man/carobrilld.8");
   const std::string help = DaemonHelp();
   for (const auto& [code, meaning] : NamesOf(ExitCode{}).entries) {
-    const std::string number = std::to_string(static_cast<int>(code));
-    const std::string words(meaning);
-    CHECK_MESSAGE(
-        page.find("| " + number + " | " + words + " |") != std::string::npos,
-        words);
-    CHECK(manual.find(".B " + number + "\n" + words) != std::string::npos);
-    CHECK(help.find("  " + number + "  " + words) != std::string::npos);
+    const auto number = static_cast<int>(code);
+    std::ostringstream row;
+    row << "| " << number << " | " << meaning << " |";
+    CHECK_MESSAGE(page.find(row.str()) != std::string::npos, row.str());
+    std::ostringstream entry;
+    entry << ".B " << number << "\n" << meaning;
+    CHECK_MESSAGE(manual.find(entry.str()) != std::string::npos, entry.str());
+    std::ostringstream line;
+    line << "  " << number << "  " << meaning;
+    CHECK_MESSAGE(help.find(line.str()) != std::string::npos, line.str());
   }
 }
 
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -224,8 +224,9 @@
     address.sin_port = htons(*port);
     for (int i = 0; i < kBurst; ++i) {
       const int connection = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(connection, reinterpret_cast<sockaddr*>(&address),
-              sizeof(address));
+      // It goes on in the background; poll() tells how it ended.
+      static_cast<void>(connect(
+          connection, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
       connections.push_back({connection, POLLOUT, 0});
     }
     // Below 1 s, after which the system would try again.
