--- /dev/null
+++ b/packages/scheduling/bench/policies.h
@@ -0,0 +1,232 @@
+#ifndef PACKAGES_SCHEDULING_BENCH_POLICIES_H_
+#define PACKAGES_SCHEDULING_BENCH_POLICIES_H_
+
+#include <algorithm>
+#include <concepts>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "packages/scheduling/placement_step.h"
+#include "packages/scheduling/planner.h"
+
+namespace carobrill::scheduling::bench {
+
+/// Something that proposes placements.
+template <typename T>
+concept PlanningPolicy = requires(T& policy,
+                                  const Cluster& cluster,
+                                  Instant now,
+                                  const PlannerView& view) {
+  { policy.Propose(cluster, now, view) } -> std::same_as<Plan>;
+  { T::kName } -> std::convertible_to<std::string_view>;
+};
+
+/// The planner as it runs in production.
+class CountedCells {
+ public:
+  static constexpr std::string_view kName = "counted";
+
+  Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view) {
+    return this->planner.Propose(cluster, now, view);
+  }
+
+ private:
+  Planner planner;
+};
+
+/// The planner without reservation and backfill: nothing overtakes.
+class NoBackfill {
+ public:
+  static constexpr std::string_view kName = "no-backfill";
+
+  Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view) {
+    return this->planner.Propose(cluster, now, view);
+  }
+
+ private:
+  static PlannerSettings Settings() {
+    PlannerSettings settings;
+    settings.backfill = false;
+    return settings;
+  }
+
+  Planner planner{Settings()};
+};
+
+/// The cells that are bound to each account for good.
+struct HomeCells {
+  std::map<AccountIndex, std::vector<Mask>> homes;
+
+  Mask Allowed(AccountIndex account, WorkerIndex worker) const {
+    const auto home = this->homes.find(account);
+    return home == this->homes.end() ? 0 : home->second[worker];
+  }
+};
+
+/// Every shape cell is bound to one physical cell, whole racks first, each
+/// account in turn.
+inline HomeCells BindHomes(const Cluster& cluster) {
+  const Board& board = cluster.GetBoard();
+  std::vector<Mask> open(board.WorkerCount());
+  for (WorkerIndex worker = 0; worker < open.size(); ++worker) {
+    open[worker] = MaskOf(0, board.GetWorker(worker).accelerators);
+  }
+  HomeCells result;
+  const auto take = [&](AccountIndex account, WorkerIndex worker, Mask mask) {
+    auto& home = result.homes[account];
+    home.resize(open.size(), 0);
+    home[worker] |= mask;
+    open[worker] &= ~mask;
+  };
+  std::vector<std::pair<std::uint32_t, AccountIndex>> cells;
+  for (const auto& [id, account] : cluster.CurrentPolicy().accounts) {
+    const AccountIndex index = cluster.AccountIndexOf(id);
+    for (const auto& part : account.guarantee) {
+      for (std::uint32_t i = 0; i < part.count; ++i) {
+        cells.emplace_back(part.whole_rack ? 0 : part.accelerators, index);
+      }
+    }
+  }
+  std::stable_sort(cells.begin(), cells.end(),
+                   [](const auto& a, const auto& b) {
+                     const auto rank = [](std::uint32_t size) {
+                       return size == 0 ? kMaxAccelerators + 1 : size;
+                     };
+                     return rank(a.first) > rank(b.first);
+                   });
+  RackIndex next_rack = 0;
+  for (const auto& [size, account] : cells) {
+    if (size == 0) {
+      for (const WorkerIndex worker : board.RackWorkers(next_rack++)) {
+        take(account, worker, open[worker]);
+      }
+      continue;
+    }
+    for (WorkerIndex worker = 0; worker < open.size(); ++worker) {
+      if (const auto first = BestFit(open[worker], size)) {
+        take(account, worker, MaskOf(*first, size));
+        break;
+      }
+    }
+  }
+  return result;
+}
+
+/// The planner with guaranteed work confined to cells bound in advance.
+class VirtualCells {
+ public:
+  static constexpr std::string_view kName = "virtual";
+
+  Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view) {
+    if (this->homes.homes.empty()) {
+      this->homes = BindHomes(cluster);
+    }
+    Plan plan;
+    const auto touched = this->planner.ProposeUpkeep(cluster, now, view, plan);
+    PlacementStep<HomeCells> step(cluster, this->settings, now, this->homes);
+    step.Run(touched, plan);
+    return plan;
+  }
+
+ private:
+  PlannerSettings settings;
+  Planner planner;
+  HomeCells homes;
+};
+
+/// First come, first fit: each account uses its own guarantee and nothing
+/// else, in the order of submission.
+class FirstComeFirstFit {
+ public:
+  static constexpr std::string_view kName = "first-fit";
+
+  Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view) {
+    Plan plan;
+    this->planner.ProposeUpkeep(cluster, now, view, plan);
+    Board board = cluster.GetBoard();
+    for (const auto& [id, account] : cluster.CurrentPolicy().accounts) {
+      std::map<Offset, const Job*> waiting;
+      for (const auto& [key, entries] : cluster.Queue()) {
+        if (key.account == id) {
+          for (const QueueEntry& entry : entries) {
+            waiting[entry.submitted_offset] = cluster.FindJob(entry.job);
+          }
+        }
+      }
+      for (const auto& [offset, job] : waiting) {
+        if (!this->Place(cluster, board, *job, plan)) {
+          break;
+        }
+      }
+    }
+    return plan;
+  }
+
+ private:
+  bool Place(const Cluster& cluster, Board& board, const Job& job, Plan& plan) {
+    const bool in_rack = job.spec.adjacency() == records::ADJACENCY_RACK;
+    for (RackIndex rack = 0; rack < (in_rack ? board.RackCount() : 1); ++rack) {
+      std::vector<WorkerIndex> workers;
+      for (WorkerIndex worker = 0; worker < board.WorkerCount(); ++worker) {
+        if (!in_rack || board.GetWorker(worker).rack == rack) {
+          workers.push_back(worker);
+        }
+      }
+      if (this->PlaceOn(cluster, board, job, workers, plan)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool PlaceOn(const Cluster& cluster,
+               Board& board,
+               const Job& job,
+               const std::vector<WorkerIndex>& workers,
+               Plan& plan) {
+    Holder holder;
+    holder.account = cluster.AccountIndexOf(AccountId(job.spec.account()));
+    const JobHandle handle = board.AddHolder(holder);
+    const MemberSize size = cluster.EffectiveSize(job.spec);
+    std::vector<Cell> cells;
+    for (const WorkerIndex worker : workers) {
+      const std::uint32_t count = CellFor(board.GetWorker(worker), size);
+      for (std::uint32_t first = 0;
+           count != 0 && first < board.GetWorker(worker).accelerators &&
+           cells.size() < job.spec.members();
+           first += count) {
+        const Cell cell[] = {{worker, first, count}};
+        if (board.Place(handle, cell, {}) == records::Verdict::kAccepted) {
+          cells.push_back(cell[0]);
+        }
+      }
+    }
+    if (cells.size() < job.spec.members()) {
+      board.Vacate(handle, cells);
+      board.RemoveHolder(handle);
+      return false;
+    }
+    auto& placed = *plan.records.emplace_back().mutable_gang_placed();
+    placed.set_job(job.id.value);
+    placed.set_attempt(job.attempt);
+    for (const Cell& cell : cells) {
+      const Worker& worker =
+          cluster.Workers().at(cluster.WorkerAt(cell.worker));
+      auto& member = *placed.add_members();
+      member.set_worker(worker.id.value);
+      member.set_incarnation(worker.incarnation);
+      member.set_first_accelerator(cell.first);
+      member.set_accelerators(cell.count);
+    }
+    return true;
+  }
+
+  Planner planner;
+};
+
+}  // namespace carobrill::scheduling::bench
+
+#endif  // PACKAGES_SCHEDULING_BENCH_POLICIES_H_
--- a/packages/scheduling/board.cc
+++ b/packages/scheduling/board.cc
@@ -153,8 +153,8 @@
       slot.binding = {};
     }
   }
-  this->displaced = {};
   this->RestoreShapes(shapes);
+  this->FinishRestore();
   std::vector<JobHandle> demoted;
   for (const auto& [handle, cells, preemptible] : work) {
     const AccountIndex account = this->holders[handle].account;
@@ -194,20 +194,25 @@
 }
 
 void Board::FinishRestore() {
-  // Counts each bound cell once: at its first accelerator, and a rack at the
-  // first accelerator of its first worker.
-  this->displaced = {};
   for (WorkerIndex worker = 0; worker < this->workers.size(); ++worker) {
     this->Refresh(worker);
-    LevelCounts here = this->DisplacedAt(worker);
-    if (this->racks[this->workers[worker].rack].front() != worker) {
-      here[kLevels] = 0;
-    }
-    AddCounts(this->displaced, here, 1);
   }
+  this->RecountDisplaced();
   this->RefreshUnmet();
 }
 
+void Board::RecountDisplaced() {
+  this->displaced = {};
+  for (const auto& rack : this->racks) {
+    for (const WorkerIndex worker : rack) {
+      LevelCounts here = this->DisplacedAt(worker);
+      // Every worker of a rack reports the rack's cell.
+      here[kLevels] = worker == rack.front() ? here[kLevels] : 0;
+      AddCounts(this->displaced, here, 1);
+    }
+  }
+}
+
 void Board::RestoreOccupant(const Cell& cell, JobHandle handle) {
   for (std::uint32_t at = cell.first; at < cell.first + cell.count; ++at) {
     Slot& slot = this->slots[cell.worker][at];
@@ -243,6 +248,7 @@
   }
   this->rack_workers = size;
   this->rack_level = level;
+  this->RecountDisplaced();
   for (RackIndex rack = 0; rack < this->racks.size(); ++rack) {
     this->RefreshRack(rack);
   }
@@ -369,13 +375,14 @@
   return true;
 }
 
-bool Board::HoldsGuaranteed(std::span<const Cell> extent,
-                            AccountIndex account) const {
+template <typename Wanted>
+bool Board::HoldsGuaranteedOf(std::span<const Cell> extent,
+                              Wanted&& wanted) const {
   for (const Cell& cell : extent) {
     for (std::uint32_t at = cell.first; at < cell.first + cell.count; ++at) {
       const JobHandle handle = this->slots[cell.worker][at].holder;
       if (handle != kNoJob && !this->holders[handle].borrowed &&
-          this->holders[handle].account == account) {
+          wanted(this->holders[handle].account)) {
         return true;
       }
     }
@@ -383,6 +390,18 @@
   return false;
 }
 
+bool Board::HoldsGuaranteed(std::span<const Cell> extent,
+                            AccountIndex account) const {
+  return this->HoldsGuaranteedOf(
+      extent, [&](AccountIndex holder) { return holder == account; });
+}
+
+bool Board::HoldsOthersGuaranteed(std::span<const Cell> extent,
+                                  AccountIndex account) const {
+  return this->HoldsGuaranteedOf(
+      extent, [&](AccountIndex holder) { return holder != account; });
+}
+
 bool Board::Bind(AccountIndex account, const Cell& cell, bool check_unmet) {
   const std::uint32_t level = LevelOf(cell.count);
   const SlotBinding& first = this->slots[cell.worker][cell.first].binding;
@@ -413,6 +432,10 @@
   if (!this->IsUnbound(extent)) {
     return false;
   }
+  // While bindings are made anew, work of other accounts may not be bound yet.
+  if (!check_unmet && this->HoldsOthersGuaranteed(extent, account)) {
+    return false;
+  }
   const LevelCounts before = this->unmet;
   --this->unbound_shape[account][level];
   --this->needs[level];
@@ -484,16 +507,18 @@
       ++counts[bound.level];
     }
   }
-  bool bound = false;
+  std::uint32_t bound = 0;
   bool available = true;
   for (const WorkerIndex member : this->racks[data.rack]) {
     const SlotBinding& binding = this->slots[member][0].binding;
     const bool member_bound = binding.account != kNoAccount &&
                               binding.in_shape && binding.level == kLevels;
-    bound = bound || member_bound;
+    bound += member_bound ? 1 : 0;
     available = available && (!member_bound || this->workers[member].ready);
   }
-  counts[kLevels] = bound && !available ? 1 : 0;
+  // A rack that has lost a worker is no longer the whole rack of the shape.
+  const bool whole = available && bound >= this->rack_workers;
+  counts[kLevels] = bound > 0 && !whole ? 1 : 0;
   return counts;
 }
 
--- a/packages/scheduling/board.h
+++ b/packages/scheduling/board.h
@@ -221,11 +221,16 @@
   /// The cells that a binding of `level` at `cell` extends over.
   std::vector<Cell> Extent(const Cell& cell, std::uint32_t level) const;
   bool IsUnbound(std::span<const Cell> extent) const;
+  template <typename Wanted>
+  bool HoldsGuaranteedOf(std::span<const Cell> extent, Wanted&& wanted) const;
+  bool HoldsOthersGuaranteed(std::span<const Cell> extent,
+                             AccountIndex account) const;
   bool HoldsGuaranteed(std::span<const Cell> extent,
                        AccountIndex account) const;
   bool RackIsWhole(RackIndex rack) const;
   /// Bound shape cells on `worker` or its rack that are not available.
   LevelCounts DisplacedAt(WorkerIndex worker) const;
+  void RecountDisplaced();
   void AddDisplaced(WorkerIndex worker, std::uint32_t sign);
   void Refresh(WorkerIndex worker);
   void RefreshRack(RackIndex rack);
--- a/packages/scheduling/cluster_policy.cc
+++ b/packages/scheduling/cluster_policy.cc
@@ -83,6 +83,10 @@
           {this->handles.at(id), this->CellsOf(job), IsPreemptible(job.spec)});
     }
   }
+  // Work that cannot be demoted gets its cells first.
+  std::stable_partition(
+      work.begin(), work.end(),
+      [](const GuaranteedWork& entry) { return !entry.preemptible; });
   for (const JobHandle handle : this->board.SetShapes(this->Shapes(), work)) {
     Job& job = this->jobs.at(this->handle_jobs[handle]);
     this->AddUsage(job, -1);
--- a/packages/scheduling/planner.cc
+++ b/packages/scheduling/planner.cc
@@ -347,16 +347,24 @@
                       Instant now,
                       const PlannerView& view) {
   Plan plan;
-  UpkeepStep upkeep(cluster, this->settings, now, view, plan);
-  upkeep.Run();
-  this->LearnSizes(cluster, view, plan);
+  const std::set<JobId> touched = this->ProposeUpkeep(cluster, now, view, plan);
   if (!cluster.Queue().empty()) {
     PlacementStep<AnyCell> step(cluster, this->settings, now, AnyCell{});
-    step.Run(upkeep.Touched(), plan);
+    step.Run(touched, plan);
   }
   return plan;
 }
 
+std::set<JobId> Planner::ProposeUpkeep(const Cluster& cluster,
+                                       Instant now,
+                                       const PlannerView& view,
+                                       Plan& plan) {
+  UpkeepStep upkeep(cluster, this->settings, now, view, plan);
+  upkeep.Run();
+  this->LearnSizes(cluster, view, plan);
+  return upkeep.Touched();
+}
+
 void Planner::LearnSizes(const Cluster& cluster,
                          const PlannerView& view,
                          Plan& plan) {
--- a/packages/scheduling/planner.h
+++ b/packages/scheduling/planner.h
@@ -116,6 +116,12 @@
   /// only when the previous proposals have been applied.
   Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view);
 
+  /// Everything but placements; returns the jobs that got a proposal.
+  std::set<JobId> ProposeUpkeep(const Cluster& cluster,
+                                Instant now,
+                                const PlannerView& view,
+                                Plan& plan);
+
  private:
   struct Window {
     std::uint32_t samples = 0;
--- a/tests/scheduling/oracle.h
+++ b/tests/scheduling/oracle.h
@@ -20,6 +20,11 @@
             records::Verdict verdict,
             const Cluster& cluster);
 
+  /// Notes that the policy was replaced.
+  void NotePolicy();
+  /// True while a gang runs that was placed under an earlier policy.
+  bool PolicyOutlived() const;
+
   /// Empty when no accelerator, core or MiB is given to two committed gangs;
   /// otherwise what was wrong.
   std::string CheckOccupancy(const Cluster& cluster) const;
@@ -29,7 +34,8 @@
   /// Empty when no non-idempotent job was committed again without a checkpoint.
   std::string CheckRuns() const;
   /// True when all shapes fit at once on ready workers beside the guaranteed
-  /// work of other accounts.
+  /// work of other accounts. Stopping gangs leave their cells, so they count no
+  /// more than borrowed ones.
   bool CanReclaim(const Cluster& cluster) const;
 
  private:
@@ -40,6 +46,8 @@
     std::uint64_t cores_milli = 0;
     std::uint64_t memory_mb = 0;
     bool committed = false;
+    /// Guaranteed under an earlier policy, and perhaps beyond the present one.
+    bool outlived_policy = false;
   };
 
   std::map<std::string, Gang> gangs;
