--- a/packages/scheduling/bench/policies.h
+++ b/packages/scheduling/bench/policies.h
@@ -37,10 +37,11 @@
   Planner planner;
 };
 
-/// The planner without reservation and backfill: nothing overtakes.
-class NoBackfill {
+/// The planner with one choice changed.
+template <typename Change>
+class Variant {
  public:
-  static constexpr std::string_view kName = "no-backfill";
+  static constexpr std::string_view kName = Change::kName;
 
   Plan Propose(const Cluster& cluster, Instant now, const PlannerView& view) {
     return this->planner.Propose(cluster, now, view);
@@ -49,13 +50,35 @@
  private:
   static PlannerSettings Settings() {
     PlannerSettings settings;
-    settings.backfill = false;
+    Change::Apply(settings);
     return settings;
   }
 
   Planner planner{Settings()};
 };
 
+/// Nothing overtakes the first job that does not fit.
+struct NoBackfill {
+  static constexpr std::string_view kName = "no-backfill";
+  static void Apply(PlannerSettings& settings) { settings.backfill = false; }
+};
+
+/// Small work keeps using the guarantee that a large gang waits for.
+struct NoHold {
+  static constexpr std::string_view kName = "no-hold";
+  static void Apply(PlannerSettings& settings) {
+    settings.hold_guarantee = false;
+  }
+};
+
+/// The other order of guaranteed and borrowed placement.
+struct OtherOrder {
+  static constexpr std::string_view kName = "other-order";
+  static void Apply(PlannerSettings& settings) {
+    settings.borrow_first = !settings.borrow_first;
+  }
+};
+
 /// The cells that are bound to each account for good.
 struct HomeCells {
   std::map<AccountIndex, std::vector<Mask>> homes;
--- a/packages/scheduling/cluster.h
+++ b/packages/scheduling/cluster.h
@@ -210,6 +210,8 @@
   const std::set<WorkerId>& WorkersToWatch() const { return this->watch; }
   std::uint32_t InUse(const AccountId& account) const;
   std::uint32_t Borrowed(const AccountId& account) const;
+  /// Accelerators of the account's whole shape.
+  std::uint32_t Guaranteed(const AccountId& account) const;
   /// Accelerators of the smallest cell of any known worker for `size`.
   std::uint32_t SmallestCell(const MemberSize& size) const;
   std::optional<WorkerIndex> IndexOf(const WorkerId& worker) const;
@@ -299,6 +301,7 @@
   void RemoveFromBoard(const Worker& worker);
   AccountIndex AddAccount(const AccountId& account);
   std::vector<LevelCounts> Shapes();
+  std::uint32_t AcceleratorsOf(const LevelCounts& counts) const;
   void SetStandardRack();
   Holder HolderOf(const Job& job);
   void AddUsage(const Job& job, int sign);
--- a/packages/scheduling/cluster_policy.cc
+++ b/packages/scheduling/cluster_policy.cc
@@ -256,21 +256,29 @@
   return found == this->account_indexes.end() ? kNoAccount : found->second;
 }
 
+std::uint32_t Cluster::AcceleratorsOf(const LevelCounts& counts) const {
+  std::uint32_t total = counts[kLevels] * this->board.RackWorkerCount() *
+                        this->board.RackAccelerators();
+  for (std::uint32_t level = 0; level < kLevels; ++level) {
+    total += counts[level] << level;
+  }
+  return total;
+}
+
+std::uint32_t Cluster::Guaranteed(const AccountId& account) const {
+  const auto found = this->policy.accounts.find(account);
+  return found == this->policy.accounts.end()
+             ? 0
+             : this->AcceleratorsOf(ShapeOf(found->second));
+}
+
 std::vector<AccountStatus> Cluster::Accounts() const {
-  const auto accelerators = [&](const LevelCounts& counts) {
-    std::uint32_t total = counts[kLevels] * this->board.RackWorkerCount() *
-                          this->board.RackAccelerators();
-    for (std::uint32_t level = 0; level < kLevels; ++level) {
-      total += counts[level] << level;
-    }
-    return total;
-  };
   std::vector<AccountStatus> result;
   for (const auto& [id, account] : this->policy.accounts) {
     AccountStatus status;
     status.account = id;
     status.quota = account.quota;
-    status.guaranteed = accelerators(ShapeOf(account));
+    status.guaranteed = this->Guaranteed(id);
     const auto used = this->usage.find(id);
     if (used != this->usage.end()) {
       status.in_use = used->second.in_use;
@@ -285,7 +293,7 @@
     for (std::uint32_t level = 0; level <= kLevels; ++level) {
       risk[level] = std::min(risk[level], this->board.Unmet()[level]);
     }
-    status.at_risk = accelerators(risk);
+    status.at_risk = this->AcceleratorsOf(risk);
     const std::uint32_t taken =
         status.in_use - status.borrowed + status.at_risk;
     status.reclaimable =
--- a/packages/scheduling/placement_step.h
+++ b/packages/scheduling/placement_step.h
@@ -2,8 +2,10 @@
 #define PACKAGES_SCHEDULING_PLACEMENT_STEP_H_
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
+#include <queue>
 #include <set>
 #include <string>
 #include <tuple>
@@ -43,8 +45,19 @@
     std::set<QueueEntry>::const_iterator end;
     AccountIndex account = kNoAccount;
     std::uint32_t share = 1;
-    bool aged = false;
-    int class_rank = 0;
+    std::uint32_t cell = 0;
+  };
+  /// Position of a group's head in the order; the smallest comes first.
+  struct Rank {
+    int job_class = 0;
+    bool fresh = false;
+    /// Borrowed accelerators over share, in thousandths; 0 once aged.
+    std::uint64_t share_used = 0;
+    std::int64_t order_ms = 0;
+    Offset submitted_offset = 0;
+    std::size_t group = 0;
+
+    auto operator<=>(const Rank&) const = default;
   };
   /// What a plan has claimed for an account so far.
   struct Claimed {
@@ -53,8 +66,9 @@
   };
 
   std::vector<Group> Groups() const;
-  void SetHead(Group& group, const std::set<JobId>& excluded) const;
-  bool Before(const Group& a, const Group& b) const;
+  void SkipExcluded(Group& group, const std::set<JobId>& excluded) const;
+  Rank RankOf(const std::vector<Group>& groups, std::size_t index) const;
+  std::uint32_t GuaranteeLeft(const Group& group) const;
   bool WithinQuota(const Group& group) const;
   std::optional<PlacementChoice> TryGroup(const Group& group);
   std::optional<PlacementChoice> TryMode(const PlacementRequest& request,
@@ -75,42 +89,62 @@
   PlacementFinder<Filter> finder;
   std::map<AccountId, Claimed> claimed;
   std::optional<Reservation> reservation;
-  /// Demands that failed; claims only grow within a plan, so they fail again.
-  std::set<std::tuple<Demand, PlacementMode, bool>> failed;
+  /// Account (for guaranteed modes), mode, whether the reservation is avoided,
+  /// and adjacency.
+  using AttemptKey =
+      std::tuple<AccountIndex, PlacementMode, bool, records::Adjacency>;
+
+  /// Demands that failed; claims only grow within a plan, so the same and
+  /// larger ones fail again.
+  std::map<AttemptKey, std::vector<Demand>> failed;
+  std::set<AccountIndex> held_accounts;
+
+  static bool AtLeast(const Demand& demand, const Demand& smaller) {
+    return demand.members >= smaller.members &&
+           demand.size.accelerators >= smaller.size.accelerators &&
+           demand.size.cores_milli >= smaller.size.cores_milli &&
+           demand.size.memory_mb >= smaller.size.memory_mb;
+  }
 };
 
 template <CellFilter Filter>
 void PlacementStep<Filter>::Run(const std::set<JobId>& excluded, Plan& plan) {
   std::vector<Group> groups = this->Groups();
   for (Group& group : groups) {
-    this->SetHead(group, excluded);
+    this->SkipExcluded(group, excluded);
   }
   this->PlaceOnProbation(groups, excluded, plan);
-  std::uint32_t placed = 0;
-  while (placed < this->settings.max_placements) {
-    std::erase_if(groups,
-                  [](const Group& group) { return group.head == group.end; });
-    const auto first = std::min_element(
-        groups.begin(), groups.end(),
-        [&](const Group& a, const Group& b) { return this->Before(a, b); });
-    if (first == groups.end()) {
-      return;
+  std::priority_queue<Rank, std::vector<Rank>, std::greater<>> order;
+  const auto enter = [&](std::size_t index) {
+    if (groups[index].head != groups[index].end) {
+      order.push(this->RankOf(groups, index));
     }
-    if (!this->WithinQuota(*first)) {
-      first->head = first->end;
+  };
+  for (std::size_t index = 0; index < groups.size(); ++index) {
+    enter(index);
+  }
+  std::uint32_t placed = 0;
+  while (!order.empty() && placed < this->settings.max_placements) {
+    const Rank rank = order.top();
+    order.pop();
+    // Claims of the same plan only ever move an account back.
+    if (this->RankOf(groups, rank.group) > rank) {
+      enter(rank.group);
       continue;
     }
-    const auto choice = this->TryGroup(*first);
-    if (!choice.has_value()) {
-      if (!this->settings.backfill) {
-        return;
-      }
-      this->Hold(*first);
-      first->head = first->end;
+    Group& group = groups[rank.group];
+    if (!this->WithinQuota(group)) {
       continue;
     }
-    this->Claim(*first, *choice, excluded, plan);
-    ++placed;
+    if (const auto choice = this->TryGroup(group)) {
+      this->Claim(group, *choice, excluded, plan);
+      ++placed;
+      enter(rank.group);
+    } else if (!this->settings.backfill) {
+      return;
+    } else {
+      this->Hold(group);
+    }
   }
 }
 
@@ -127,7 +161,7 @@
     account.borrowed += choice.borrowed ? cell.count : 0;
   }
   ++group.head;
-  this->SetHead(group, excluded);
+  this->SkipExcluded(group, excluded);
 }
 
 /// A worker on probation gets one small job that can be repeated elsewhere.
@@ -141,23 +175,25 @@
     if (!data.probation || !this->cluster.Workers().at(id).jobs.empty()) {
       continue;
     }
-    Group* best = nullptr;
-    for (Group& group : groups) {
+    std::optional<Rank> best;
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      const Group& group = groups[i];
       const bool suits =
           group.head != group.end && group.key->demand.members == 1 &&
           group.key->demand.preemptible &&
           this->cluster.FindJob(group.head->job)->spec.idempotent() &&
           CellFor(data, group.key->demand.size) != 0 &&
           this->WithinQuota(group);
-      if (suits && (best == nullptr || this->Before(group, *best))) {
-        best = &group;
+      if (suits && (!best || this->RankOf(groups, i) < *best)) {
+        best = this->RankOf(groups, i);
       }
     }
-    if (best != nullptr) {
+    if (best) {
+      Group& group = groups[best->group];
       PlacementChoice choice;
-      choice.cells = {Cell{index, 0, CellFor(data, best->key->demand.size)}};
+      choice.cells = {Cell{index, 0, CellFor(data, group.key->demand.size)}};
       choice.borrowed = true;
-      this->Claim(*best, choice, excluded, plan);
+      this->Claim(group, choice, excluded, plan);
     }
   }
 }
@@ -178,50 +214,60 @@
     group.end = entries.end();
     group.account = this->cluster.AccountIndexOf(key.account);
     group.share = account->second.share;
+    group.cell = this->cluster.SmallestCell(key.demand.size);
     groups.push_back(group);
   }
   return groups;
 }
 
 template <CellFilter Filter>
-void PlacementStep<Filter>::SetHead(Group& group,
-                                    const std::set<JobId>& excluded) const {
+void PlacementStep<Filter>::SkipExcluded(
+    Group& group,
+    const std::set<JobId>& excluded) const {
   while (group.head != group.end && excluded.contains(group.head->job)) {
     ++group.head;
   }
-  if (group.head == group.end) {
-    return;
-  }
-  const Job& job = *this->cluster.FindJob(group.head->job);
-  group.aged = job.submitted_at.After(this->settings.aging_ms) <= this->now;
-  group.class_rank = static_cast<int>(group.key->job_class);
-  if (group.aged && group.key->job_class == records::JOB_CLASS_BATCH) {
-    group.class_rank = static_cast<int>(records::JOB_CLASS_NORMAL);
-  }
 }
 
 template <CellFilter Filter>
-bool PlacementStep<Filter>::Before(const Group& a, const Group& b) const {
-  if (a.class_rank != b.class_rank) {
-    return a.class_rank < b.class_rank;
+auto PlacementStep<Filter>::RankOf(const std::vector<Group>& groups,
+                                   std::size_t index) const -> Rank {
+  const Group& group = groups[index];
+  const Job& job = *this->cluster.FindJob(group.head->job);
+  const bool aged =
+      job.submitted_at.After(this->settings.aging_ms) <= this->now;
+  Rank rank;
+  rank.job_class = static_cast<int>(group.key->job_class);
+  if (aged && group.key->job_class == records::JOB_CLASS_BATCH) {
+    rank.job_class = static_cast<int>(records::JOB_CLASS_NORMAL);
   }
   // A job that has waited long is not held back by its account's share.
-  if (a.aged != b.aged) {
-    return a.aged;
+  rank.fresh = !aged;
+  if (!aged) {
+    const auto claims = this->claimed.find(group.key->account);
+    const std::uint64_t borrowed =
+        this->cluster.Borrowed(group.key->account) +
+        (claims == this->claimed.end() ? 0 : claims->second.borrowed);
+    rank.share_used = borrowed * 1000 / group.share;
   }
-  if (!a.aged && a.key->account != b.key->account) {
-    const auto used = [&](const Group& group) -> std::uint64_t {
-      const auto claims = this->claimed.find(group.key->account);
-      return this->cluster.Borrowed(group.key->account) +
-             (claims == this->claimed.end() ? 0 : claims->second.borrowed);
-    };
-    const std::uint64_t left = used(a) * b.share;
-    const std::uint64_t right = used(b) * a.share;
-    if (left != right) {
-      return left < right;
-    }
+  rank.order_ms = group.head->order_ms;
+  rank.submitted_offset = group.head->submitted_offset;
+  rank.group = index;
+  return rank;
+}
+
+/// Accelerators of the account's guarantee that no guaranteed work uses.
+template <CellFilter Filter>
+std::uint32_t PlacementStep<Filter>::GuaranteeLeft(const Group& group) const {
+  const AccountId& account = group.key->account;
+  const auto claims = this->claimed.find(account);
+  std::uint32_t used =
+      this->cluster.InUse(account) - this->cluster.Borrowed(account);
+  if (claims != this->claimed.end()) {
+    used += claims->second.in_use - claims->second.borrowed;
   }
-  return *a.head < *b.head;
+  const std::uint32_t guaranteed = this->cluster.Guaranteed(account);
+  return guaranteed > used ? guaranteed - used : 0;
 }
 
 template <CellFilter Filter>
@@ -235,8 +281,7 @@
   const std::uint64_t used =
       this->cluster.InUse(group.key->account) +
       (claims == this->claimed.end() ? 0 : claims->second.in_use);
-  const std::uint64_t cell = this->cluster.SmallestCell(group.key->demand.size);
-  return used + cell * group.key->demand.members <= *quota;
+  return used + std::uint64_t{group.cell} * group.key->demand.members <= *quota;
 }
 
 template <CellFilter Filter>
@@ -250,18 +295,34 @@
   request.preemptible = group.key->demand.preemptible;
   request.estimated_end =
       this->now.After(this->cluster.EstimatedRunMs(job.spec));
-  if (auto choice = this->TryMode(request, PlacementMode::kGuaranteed)) {
-    return choice;
-  }
   const bool may_borrow = request.preemptible && this->settings.borrow;
-  if (may_borrow) {
+  // While an earlier job of the account waits for its guarantee, later ones
+  // only borrow, so that the earlier one can take their cells.
+  const bool held = this->settings.hold_guarantee && may_borrow &&
+                    this->held_accounts.contains(group.account);
+  const bool may_claim = !held && group.cell * request.demand.members <=
+                                      this->GuaranteeLeft(group);
+  const bool borrow_first = this->settings.borrow_first && may_borrow;
+  if (borrow_first) {
+    if (auto choice = this->TryMode(request, PlacementMode::kBorrowed)) {
+      return choice;
+    }
+  }
+  if (may_claim) {
+    if (auto choice = this->TryMode(request, PlacementMode::kGuaranteed)) {
+      return choice;
+    }
+  }
+  if (may_borrow && !borrow_first) {
     if (auto choice = this->TryMode(request, PlacementMode::kBorrowed)) {
       return choice;
     }
   }
-  if (auto choice =
-          this->TryMode(request, PlacementMode::kGuaranteedOverVictims)) {
-    return choice;
+  if (may_claim) {
+    if (auto choice =
+            this->TryMode(request, PlacementMode::kGuaranteedOverVictims)) {
+      return choice;
+    }
   }
   if (may_borrow && request.job_class == records::JOB_CLASS_URGENT) {
     return this->TryMode(request, PlacementMode::kBorrowedOverVictims);
@@ -280,21 +341,28 @@
   // gang that they are kept for.
   const bool avoid = !guaranteed && this->reservation.has_value() &&
                      request.estimated_end > this->reservation->free_at;
-  const std::tuple<Demand, PlacementMode, bool> attempt{request.demand, mode,
-                                                        avoid};
-  if (!guaranteed && this->failed.contains(attempt)) {
+  const AttemptKey attempt{guaranteed ? request.account : kNoAccount, mode,
+                           avoid, request.demand.adjacency};
+  std::vector<Demand>& known = this->failed[attempt];
+  if (std::any_of(known.begin(), known.end(), [&](const Demand& smaller) {
+        return AtLeast(request.demand, smaller);
+      })) {
     return std::nullopt;
   }
   auto choice = this->finder.Find(request, mode,
                                   avoid ? this->reservation->masks : kNothing);
-  if (!choice.has_value() && !guaranteed) {
-    this->failed.insert(attempt);
+  if (!choice.has_value()) {
+    known.push_back(request.demand);
   }
   return choice;
 }
 
 template <CellFilter Filter>
 void PlacementStep<Filter>::Hold(const Group& group) {
+  if (group.cell * group.key->demand.members <=
+      this->cluster.Guaranteed(group.key->account)) {
+    this->held_accounts.insert(group.account);
+  }
   // Only work that may borrow can use whichever cells become free.
   if (!this->reservation.has_value() && group.key->demand.preemptible &&
       this->settings.borrow) {
--- a/packages/scheduling/planner.h
+++ b/packages/scheduling/planner.h
@@ -99,8 +99,14 @@
   std::uint32_t throttle_permille = 900;
   std::uint32_t stop_permille = 970;
   std::uint32_t quarantine_failures = 3;
+  /// Jobs may overtake a gang that does not fit, if they do not delay it.
   bool backfill = true;
+  /// Work may run outside its account's guarantee.
   bool borrow = true;
+  /// Free cells are borrowed before the guarantee is used.
+  bool borrow_first = false;
+  /// Jobs behind one that waits for its account's guarantee only borrow.
+  bool hold_guarantee = true;
 
   /// True when every value is in its range.
   bool Valid() const;
