--- a/packages/scheduling/cluster_policy.cc
+++ b/packages/scheduling/cluster_policy.cc
@@ -83,6 +83,10 @@
           {this->handles.at(id), this->CellsOf(job), IsPreemptible(job.spec)});
     }
   }
+  // Work that cannot be demoted gets its cells first.
+  std::stable_partition(
+      work.begin(), work.end(),
+      [](const GuaranteedWork& entry) { return !entry.preemptible; });
   for (const JobHandle handle : this->board.SetShapes(this->Shapes(), work)) {
     Job& job = this->jobs.at(this->handle_jobs[handle]);
     this->AddUsage(job, -1);
@@ -252,21 +256,29 @@
   return found == this->account_indexes.end() ? kNoAccount : found->second;
 }
 
+std::uint32_t Cluster::AcceleratorsOf(const LevelCounts& counts) const {
+  std::uint32_t total = counts[kLevels] * this->board.RackWorkerCount() *
+                        this->board.RackAccelerators();
+  for (std::uint32_t level = 0; level < kLevels; ++level) {
+    total += counts[level] << level;
+  }
+  return total;
+}
+
+std::uint32_t Cluster::Guaranteed(const AccountId& account) const {
+  const auto found = this->policy.accounts.find(account);
+  return found == this->policy.accounts.end()
+             ? 0
+             : this->AcceleratorsOf(ShapeOf(found->second));
+}
+
 std::vector<AccountStatus> Cluster::Accounts() const {
-  const auto accelerators = [&](const LevelCounts& counts) {
-    std::uint32_t total = counts[kLevels] * this->board.RackWorkerCount() *
-                          this->board.RackAccelerators();
-    for (std::uint32_t level = 0; level < kLevels; ++level) {
-      total += counts[level] << level;
-    }
-    return total;
-  };
   std::vector<AccountStatus> result;
   for (const auto& [id, account] : this->policy.accounts) {
     AccountStatus status;
     status.account = id;
     status.quota = account.quota;
-    status.guaranteed = accelerators(ShapeOf(account));
+    status.guaranteed = this->Guaranteed(id);
     const auto used = this->usage.find(id);
     if (used != this->usage.end()) {
       status.in_use = used->second.in_use;
@@ -281,7 +293,7 @@
     for (std::uint32_t level = 0; level <= kLevels; ++level) {
       risk[level] = std::min(risk[level], this->board.Unmet()[level]);
     }
-    status.at_risk = accelerators(risk);
+    status.at_risk = this->AcceleratorsOf(risk);
     const std::uint32_t taken =
         status.in_use - status.borrowed + status.at_risk;
     status.reclaimable =
