Add tests of the dispatcher and the claim table

Random histories run three entries, three agents, a log and a network on a virtual clock: lost, late, repeated, crossed and cut messages, restarts of agents and entries, log outages, unreachable agents, callers that leave. An oracle counts what ran.

--- /dev/null
+++ b/tests/requests/world.h
@@ -0,0 +1,163 @@
+#ifndef TESTS_REQUESTS_WORLD_H_
+#define TESTS_REQUESTS_WORLD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "packages/requests/claim_table.h"
+#include "packages/requests/request_dispatcher.h"
+
+namespace carobrill::requests {
+
+/// Probabilities, in percent, of what the network does to a message.
+struct Faults {
+  int lose = 0;
+  int delay = 0;
+  int repeat = 0;
+  int cross = 0;
+  int cut = 0;
+};
+
+/// One call of a caller, and what it was told.
+struct Call {
+  CallId id = 0;
+  std::size_t entry = 0;
+  std::string key;
+  std::string payload;
+  Instant start;
+  Instant deadline;
+  /// When it was answered or its entry died.
+  Instant end = Instant::Never();
+  std::vector<Answer> answers;
+  bool gone = false;
+};
+
+/// Entries with their own copies of the claim table, agents, a log and a
+/// network, all on a virtual clock and with a seeded random source.
+class World {
+ public:
+  World(std::size_t entry_count, std::size_t agent_count, std::uint64_t seed);
+
+  void Ask(std::size_t entry,
+           const std::string& key,
+           std::int64_t deadline_ms,
+           bool hold);
+  void LeaveCall(std::size_t index);
+  void RestartAgent(std::size_t agent);
+  void SetLeaving(std::size_t agent, bool leaving);
+  void SetReachable(std::size_t agent, std::size_t entry, bool reachable);
+  void RestartEntry(std::size_t entry);
+  void SetLog(std::size_t entry, bool available);
+  void SetFaults(const Faults& new_faults) { this->faults = new_faults; }
+  void Advance(std::int64_t ms);
+
+  /// Ends all faults and lets everything come to rest.
+  void Heal();
+
+  /// What is wrong with the answers so far, or an empty text.
+  std::string AnswerFault() const;
+  /// What is wrong with `ran: no` answers, or an empty text.
+  std::string NotRunFault() const;
+  /// A key that ran more than once, or an empty text.
+  std::string TwiceRunFault() const;
+  /// An attempt sent to an endpoint known as leaving, or an empty text.
+  const std::string& LeavingFault() const { return this->leaving_fault; }
+  /// What has not come to rest after Heal, or an empty text.
+  std::string RestFault() const;
+
+  std::size_t Executions() const { return this->executions.size(); }
+  const std::vector<Call>& Calls() const { return this->calls; }
+
+ private:
+  struct Execution {
+    std::string payload;
+    Instant at;
+  };
+
+  struct Agent {
+    InstanceId id;
+    Incarnation incarnation = 1;
+    bool leaving = false;
+    std::uint32_t running = 0;
+    std::set<Offset> refused;
+    /// Claims that started here; the answer is empty while they run.
+    std::map<Offset, std::string> started;
+    std::set<std::size_t> unreachable_from;
+  };
+
+  struct Entry {
+    InstanceId id;
+    Incarnation incarnation = 1;
+    std::unique_ptr<ClaimTable> table;
+    std::unique_ptr<RequestDispatcher> dispatcher;
+    std::size_t applied = 0;
+    bool log_available = true;
+    bool apply_scheduled = false;
+    std::map<InstanceId, ServingEndpoint> told;
+    std::set<std::string> unanswered;
+  };
+
+  struct Event {
+    Instant at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::tie(other.at, other.order) < std::tie(this->at, this->order);
+    }
+  };
+
+  using Reach = std::function<void(Entry&)>;
+
+  void Schedule(std::int64_t delay_ms, std::function<void()> run);
+  /// Runs `reach` later unless the entry has been restarted by then.
+  void ScheduleAt(std::size_t entry, std::int64_t delay_ms, Reach reach);
+  bool Chance(int percent);
+  std::int64_t Delay();
+  void StartEntry(std::size_t entry);
+  void Tick();
+  void Perform(std::size_t entry, const Actions& actions);
+  void Propose(std::size_t entry, const records::Record& record);
+  void Append(std::size_t entry,
+              Incarnation incarnation,
+              const records::Record& record);
+  void ScheduleApply(std::size_t entry);
+  void ApplyLog(std::size_t entry);
+  void SendAttemptTo(std::size_t entry, const SendAttempt& send);
+  void SendFenceTo(std::size_t entry, const SendFence& send);
+  void Execute(std::size_t entry, std::size_t agent, const SendAttempt& send);
+  void Reply(std::size_t entry,
+             std::size_t agent,
+             const SendAttempt& send,
+             rpc::ExecuteReply reply);
+  rpc::FenceClaimReply Fence(Agent& agent, const SendFence& send);
+  std::optional<std::size_t> FindAgent(const InstanceId& id) const;
+  ServingEndpoint Describe(const Agent& agent) const;
+  void ArmTimer(std::size_t entry);
+
+  std::mt19937_64 random;
+  Instant now{1'000};
+  std::uint64_t next_order = 0;
+  std::priority_queue<Event> events;
+  std::vector<Entry> entries;
+  std::vector<Agent> agents;
+  std::vector<std::pair<records::Record, Instant>> log;
+  std::vector<Execution> executions;
+  std::vector<Call> calls;
+  std::optional<rpc::ExecuteReply> last_reply;
+  Faults faults;
+  std::string leaving_fault;
+};
+
+}  // namespace carobrill::requests
+
+#endif  // TESTS_REQUESTS_WORLD_H_
