--- a/packages/requests/hedge_policy.cc
+++ b/packages/requests/hedge_policy.cc
@@ -13,6 +13,11 @@
 // Replies of very short work vary by more than their length.
 constexpr std::int64_t kMinDelayMs = 10;
 
+// When nearly all requests take the same time, a hedge at the percentile itself
+// races with their replies: it spent the whole budget on them and left none for
+// stragglers (p99 1002 ms with and without hedging).
+constexpr std::int64_t kMarginPart = 4;
+
 constexpr std::uint32_t kReserve = 2;
 
 }  // namespace
@@ -32,7 +37,7 @@
   if (!quantile) {
     return std::nullopt;
   }
-  return std::max(kMinDelayMs, *quantile);
+  return std::max(kMinDelayMs, *quantile + *quantile / kMarginPart);
 }
 
 }  // namespace carobrill::requests
