--- a/tests/requests/world.cc
+++ b/tests/requests/world.cc
@@ -9,8 +9,6 @@
 namespace carobrill::requests {
 namespace {
 
-constexpr std::uint32_t kSlots = 2;
-
 std::string AnswerTo(const std::string& payload) {
   return "answer to " + payload;
 }
@@ -24,8 +22,12 @@
 
 World::World(std::size_t entry_count,
              std::size_t agent_count,
-             std::uint64_t seed)
-    : random(seed), entries(entry_count), agents(agent_count) {
+             std::uint64_t seed,
+             WorldOptions world_options)
+    : options(std::move(world_options)),
+      random(seed),
+      entries(entry_count),
+      agents(agent_count) {
   for (std::size_t i = 0; i < agent_count; ++i) {
     this->agents[i].id = InstanceId("agent" + std::to_string(i));
   }
@@ -39,12 +41,14 @@
 void World::Ask(std::size_t entry,
                 const std::string& key,
                 std::int64_t deadline_ms,
-                bool hold) {
+                bool hold,
+                const std::string& kind) {
   Call call;
   call.id = this->calls.size() + 1;
   call.entry = entry;
   call.key = key;
   call.payload = key.empty() ? "call " + std::to_string(call.id) : key;
+  call.kind = kind;
   call.start = this->now;
   call.deadline = this->now.After(deadline_ms);
   Request request;
@@ -56,7 +60,9 @@
   request.deadline = call.deadline;
   request.payload = call.payload;
   request.hold_during_outage = hold;
+  request.kind = kind;
   request.repeat =
+      !key.empty() &&
       std::any_of(this->calls.begin(), this->calls.end(),
                   [&key](const Call& other) { return other.key == key; });
   this->calls.push_back(call);
@@ -243,12 +249,21 @@
 }
 
 std::int64_t World::Delay() {
-  return std::uniform_int_distribution<std::int64_t>(1, 20)(this->random);
+  return std::uniform_int_distribution<std::int64_t>(
+      1, this->options.longest_delay_ms)(this->random);
+}
+
+std::int64_t World::RunMs(const std::string& payload) {
+  if (this->options.run_ms) {
+    const std::size_t id = std::stoul(payload.substr(payload.find(' ')));
+    return this->options.run_ms(this->calls[id - 1].kind, this->random);
+  }
+  return this->Chance(10) ? 1'500 : this->Delay() * 5;
 }
 
 void World::StartEntry(std::size_t index) {
   Entry& entry = this->entries[index];
-  DispatcherSettings settings;
+  DispatcherSettings settings = this->options.dispatcher;
   settings.self = entry.id;
   settings.self_incarnation = entry.incarnation;
   settings.seed = index;
@@ -419,7 +434,7 @@
     reply.set_refusal(rpc::REFUSAL_FENCED);
   } else if (agent.leaving) {
     reply.set_refusal(rpc::REFUSAL_LEAVING);
-  } else if (agent.running >= kSlots) {
+  } else if (agent.running >= this->options.slots) {
     reply.set_refusal(rpc::REFUSAL_NO_SLOT);
   }
   if (reply.refusal() != rpc::REFUSAL_NONE) {
@@ -434,7 +449,7 @@
     agent.started[claim] = "";
   }
   const Incarnation incarnation = agent.incarnation;
-  const std::int64_t run_ms = this->Chance(10) ? 1'500 : this->Delay() * 5;
+  const std::int64_t run_ms = this->RunMs(send.request.payload());
   this->Schedule(run_ms, [this, entry, index, incarnation, send, reply] {
     Agent& runner = this->agents[index];
     if (runner.incarnation != incarnation) {
@@ -549,7 +564,7 @@
   endpoint.agent = agent.id;
   endpoint.agent_incarnation = agent.incarnation;
   endpoint.routable = !agent.leaving;
-  endpoint.slots = kSlots;
+  endpoint.slots = this->options.slots;
   endpoint.slots_used = agent.running;
   endpoint.reported_at = this->now;
   return endpoint;
--- a/tests/requests/world.h
+++ b/tests/requests/world.h
@@ -28,12 +28,23 @@
   int cut = 0;
 };
 
+/// What a world is made of.
+struct WorldOptions {
+  DispatcherSettings dispatcher;
+  std::uint32_t slots = 2;
+  std::int64_t longest_delay_ms = 20;
+  /// Run time of a request by its kind; random when not set.
+  std::function<std::int64_t(const std::string& kind, std::mt19937_64& random)>
+      run_ms;
+};
+
 /// One call of a caller, and what it was told.
 struct Call {
   CallId id = 0;
   std::size_t entry = 0;
   std::string key;
   std::string payload;
+  std::string kind;
   Instant start;
   Instant deadline;
   /// When it was answered or its entry died.
@@ -46,12 +57,16 @@
 /// network, all on a virtual clock and with a seeded random source.
 class World {
  public:
-  World(std::size_t entry_count, std::size_t agent_count, std::uint64_t seed);
+  World(std::size_t entry_count,
+        std::size_t agent_count,
+        std::uint64_t seed,
+        WorldOptions world_options = {});
 
   void Ask(std::size_t entry,
            const std::string& key,
            std::int64_t deadline_ms,
-           bool hold);
+           bool hold,
+           const std::string& kind = "");
   void LeaveCall(std::size_t index);
   void RestartAgent(std::size_t agent);
   void SetLeaving(std::size_t agent, bool leaving);
@@ -144,6 +159,9 @@
   ServingEndpoint Describe(const Agent& agent) const;
   void ArmTimer(std::size_t entry);
 
+  std::int64_t RunMs(const std::string& payload);
+
+  WorldOptions options;
   std::mt19937_64 random;
   Instant now{1'000};
   std::uint64_t next_order = 0;
