--- /dev/null
+++ b/packages/scheduling/board.h
@@ -0,0 +1,261 @@
+#ifndef PACKAGES_SCHEDULING_BOARD_H_
+#define PACKAGES_SCHEDULING_BOARD_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+#include "packages/core/time.h"
+#include "packages/records/records.pb.h"
+#include "packages/records/verdict.h"
+#include "packages/scheduling/cell_index.h"
+#include "packages/scheduling/policy.h"
+
+namespace carobrill::scheduling {
+
+using JobHandle = std::uint32_t;
+inline constexpr JobHandle kNoJob = 0;
+using AccountIndex = std::uint16_t;
+inline constexpr AccountIndex kNoAccount = 0xffff;
+
+/// What the board knows of a job that holds cells.
+struct Holder {
+  AccountIndex account = kNoAccount;
+  bool borrowed = false;
+  /// Borrowed and preemptible, or stopping already.
+  bool takeable = false;
+  bool stopping = false;
+  /// Its tasks may be running on its cells.
+  bool committed = false;
+  records::JobClass job_class = records::JOB_CLASS_NORMAL;
+  /// Estimated end in log time.
+  Instant estimated_end;
+};
+
+/// An aligned cell of one worker.
+struct Cell {
+  WorkerIndex worker = 0;
+  std::uint32_t first = 0;
+  std::uint32_t count = 0;
+
+  auto operator<=>(const Cell&) const = default;
+};
+
+/// The shape cell that covers an accelerator, if any.
+struct SlotBinding {
+  AccountIndex account = kNoAccount;
+  /// kLevels stands for a whole rack.
+  std::uint8_t level = 0;
+  /// The cell counts against the account's shape. False for guaranteed work
+  /// that outlived a reduction of the shape.
+  bool in_shape = false;
+
+  bool operator==(const SlotBinding&) const = default;
+};
+
+/// One accelerator of a worker.
+struct Slot {
+  /// Job that has claimed it, or the stopping job that still occupies it.
+  JobHandle holder = kNoJob;
+  /// Stopping job that the holder waits for.
+  JobHandle ending = kNoJob;
+  SlotBinding binding;
+};
+
+/// A gang that runs within its account's guarantee.
+struct GuaranteedWork {
+  JobHandle handle = kNoJob;
+  std::vector<Cell> cells;
+  bool preemptible = false;
+};
+
+/// Fixed data and availability of a worker.
+struct BoardWorker {
+  std::uint32_t accelerators = 0;
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+  RackIndex rack = 0;
+  DomainIndex domain = 0;
+  /// Accepts new gangs and counts for guarantees.
+  bool ready = false;
+  /// Accepts one task at a time.
+  bool probation = false;
+};
+
+/// Number of cells of each level; the last entry counts whole racks.
+using LevelCounts = std::array<std::uint32_t, kLevels + 1>;
+
+/// Size of one member of a gang.
+struct MemberSize {
+  std::uint32_t accelerators = 0;
+  std::uint32_t cores_milli = 0;
+  std::uint32_t memory_mb = 0;
+
+  auto operator<=>(const MemberSize&) const = default;
+};
+
+/// Accelerators of the smallest cell of `worker` that holds a member of `size`;
+/// 0 when none does.
+std::uint32_t CellFor(const BoardWorker& worker, const MemberSize& size);
+
+/// Needs that a top-down count cannot meet from `free` cells, by level. A
+/// surplus at one level is split into two cells of the next. `racks` maps the
+/// number of top-level cells of a free whole rack to the number of such racks.
+LevelCounts CountUnmet(const LevelCounts& needs,
+                       const CellCounts& free,
+                       const std::map<std::uint32_t, std::uint32_t>& racks,
+                       std::uint32_t rack_level);
+
+/// Who occupies which accelerator, which shape cells are bound to which
+/// physical cells, and the indexes for searching. Copied by the planner to try
+/// placements, therefore made of flat vectors.
+class Board {
+ public:
+  Board();
+
+  WorkerIndex AddWorker(const BoardWorker& worker);
+  /// Removes a worker that holds nothing; its index is used again.
+  void RemoveWorker(WorkerIndex index);
+  /// Sets whether a worker takes new gangs and counts for guarantees.
+  void SetAvailability(WorkerIndex index, bool ready, bool probation);
+
+  /// Adds an account; its shape is empty.
+  AccountIndex AddAccount();
+  /// Replaces the shapes of all accounts and binds guaranteed work anew, in the
+  /// order of `work`. Work that no longer fits its shape becomes borrowed when
+  /// preemptible; returns the handles of these jobs.
+  std::vector<JobHandle> SetShapes(const std::vector<LevelCounts>& shapes,
+                                   const std::vector<GuaranteedWork>& work);
+  /// Sets the shapes without bindings, which RestoreBinding then adds.
+  void RestoreShapes(const std::vector<LevelCounts>& shapes);
+  /// Restores the binding of one accelerator from a snapshot; called for all
+  /// accelerators, then FinishRestore once.
+  void RestoreBinding(WorkerIndex worker,
+                      std::uint32_t at,
+                      const SlotBinding& binding);
+  void FinishRestore();
+  /// Restores that `handle` claims `cell`, over the job restored there before.
+  void RestoreOccupant(const Cell& cell, JobHandle handle);
+  /// Declares the size of a whole rack; 0 derives it from the workers.
+  void SetStandardRack(std::uint32_t workers, std::uint32_t accelerators);
+
+  JobHandle AddHolder(const Holder& holder);
+  void RemoveHolder(JobHandle handle);
+  const Holder& GetHolder(JobHandle handle) const {
+    return this->holders[handle];
+  }
+  void SetEstimatedEnd(JobHandle handle, Instant estimated_end) {
+    this->holders[handle].estimated_end = estimated_end;
+  }
+  void SetCommitted(JobHandle handle) {
+    this->holders[handle].committed = true;
+  }
+  /// A stopping job's cells may be claimed by others.
+  void SetStopping(JobHandle handle, std::span<const Cell> cells);
+
+  /// Claims `cells` for `handle`, over the cells of `victims` where they are in
+  /// the way. A victim that is not committed must be vacated by the caller
+  /// first. Changes nothing unless it returns kAccepted.
+  records::Verdict Place(JobHandle handle,
+                         std::span<const Cell> cells,
+                         std::span<const JobHandle> victims);
+  /// Frees everything that `handle` claims or still occupies within `cells`.
+  void Vacate(JobHandle handle, std::span<const Cell> cells);
+
+  const BoardWorker& GetWorker(WorkerIndex index) const {
+    return this->workers[index];
+  }
+  std::uint32_t WorkerCount() const {
+    return static_cast<std::uint32_t>(this->workers.size());
+  }
+  const Slot& GetSlot(WorkerIndex worker, std::uint32_t accelerator) const {
+    return this->slots[worker][accelerator];
+  }
+  const std::vector<WorkerIndex>& RackWorkers(RackIndex rack) const {
+    return this->racks[rack];
+  }
+  std::uint32_t RackCount() const {
+    return static_cast<std::uint32_t>(this->racks.size());
+  }
+
+  /// Accelerators that nothing holds, on ready workers.
+  const CellIndex& Free() const { return this->free; }
+  /// Accelerators that are free or can be claimed over a takeable job.
+  const CellIndex& Takeable() const { return this->takeable; }
+  /// Accelerators that no shape cell is bound to, on ready workers.
+  const CellIndex& Unbound() const { return this->unbound; }
+  /// Accelerators of `worker` on which guaranteed work of `account` may run
+  /// without binding another cell.
+  Mask OwnBound(WorkerIndex worker, AccountIndex account) const;
+
+  /// Shape cells of `account` that are not bound, by level.
+  const LevelCounts& UnboundShape(AccountIndex account) const {
+    return this->unbound_shape[account];
+  }
+  /// Shape cells that the available hardware cannot hold now, by level.
+  const LevelCounts& Unmet() const { return this->unmet; }
+  /// Shape cells of `account` that are unbound or bound to unavailable
+  /// hardware, by level.
+  LevelCounts OpenShape(AccountIndex account) const;
+  /// Unmet needs if all registered workers were available and unbound.
+  LevelCounts UnmetOnAllWorkers(const LevelCounts& wanted) const;
+  /// True when every accelerator of the rack is available and unbound.
+  bool IsWholeRack(RackIndex rack) const { return this->rack_whole[rack] != 0; }
+  /// Workers and accelerators per worker of a whole rack.
+  std::uint32_t RackWorkerCount() const { return this->rack_workers; }
+  std::uint32_t RackAccelerators() const { return 1U << this->rack_level; }
+
+ private:
+  bool CanClaim(const Slot& slot, std::span<const JobHandle> victims) const;
+  bool IsClaimable(const Slot& slot) const;
+  bool Bind(AccountIndex account, const Cell& cell, bool check_unmet);
+  bool TryBindAt(AccountIndex account,
+                 const Cell& cell,
+                 std::uint32_t level,
+                 bool check_unmet);
+  void SetBinding(std::span<const Cell> extent, const SlotBinding& binding);
+  void Unbind(WorkerIndex worker, std::uint32_t at);
+  void UnbindIfIdle(const Cell& cell);
+  /// The cells that a binding of `level` at `cell` extends over.
+  std::vector<Cell> Extent(const Cell& cell, std::uint32_t level) const;
+  bool IsUnbound(std::span<const Cell> extent) const;
+  bool HoldsGuaranteed(std::span<const Cell> extent,
+                       AccountIndex account) const;
+  bool RackIsWhole(RackIndex rack) const;
+  /// Bound shape cells on `worker` or its rack that are not available.
+  LevelCounts DisplacedAt(WorkerIndex worker) const;
+  void AddDisplaced(WorkerIndex worker, std::uint32_t sign);
+  void Refresh(WorkerIndex worker);
+  void RefreshRack(RackIndex rack);
+  void RefreshUnmet();
+  void DeriveStandardRack();
+
+  std::vector<BoardWorker> workers;
+  std::vector<WorkerIndex> unused_workers;
+  std::vector<std::array<Slot, kMaxAccelerators>> slots;
+  std::vector<std::vector<WorkerIndex>> racks;
+  /// Number of top-level cells of each rack that is whole and unbound, else 0.
+  std::vector<std::uint32_t> rack_whole;
+  std::map<std::uint32_t, std::uint32_t> whole_racks;
+  std::vector<Holder> holders;
+  std::vector<JobHandle> unused_handles;
+  std::vector<LevelCounts> unbound_shape;
+  /// Sum of unbound_shape over accounts.
+  LevelCounts needs{};
+  /// Shape cells bound to hardware that is not available.
+  LevelCounts displaced{};
+  LevelCounts unmet{};
+  std::uint32_t declared_rack_workers = 0;
+  std::uint32_t declared_rack_accelerators = 0;
+  std::uint32_t rack_workers = 0;
+  std::uint32_t rack_level = 0;
+  CellIndex free;
+  CellIndex takeable;
+  CellIndex unbound;
+};
+
+}  // namespace carobrill::scheduling
+
+#endif  // PACKAGES_SCHEDULING_BOARD_H_
