Serve requests and gangs end to end with separate processes

Cause: the packages existed side by side; nothing joined them. The entry role owns the fold, the directory, the request path and the planning loop on one task; agents and entries speak gRPC, the rest is HTTP.

Ruled out: a forwarding of watcher reports to the planning entry. Any entry proposes the record itself; two that do so cost one rejected record. Also ruled out: treating every silent worker as lost. A silent region, or silence of nearly everything, counts as a partition and gets ten minutes.

--- a/packages/core/task.h
+++ b/packages/core/task.h
@@ -36,8 +36,8 @@
   /// Runs `message` every `interval_ms`, counted from the end of each run.
   void PostEvery(std::int64_t interval_ms, Message message);
 
-  /// Runs `function` on the task's thread and waits for it. Must not be called
-  /// from that thread.
+  /// Runs `function` on the task's thread and waits for it; on that thread it
+  /// runs at once.
   void Run(const Message& function);
 
   /// Stops the loop; messages posted later are dropped.
--- /dev/null
+++ b/packages/daemon/entry_metrics.cc
@@ -0,0 +1,87 @@
+#include "packages/daemon/entry_metrics.h"
+
+#include <string>
+
+namespace carobrill::daemon {
+
+EntryMetrics::EntryMetrics(MetricsRegistry& registry)
+    : registry(registry),
+      applied_offset(registry.GetGauge("carobrill_log_applied_offset",
+                                       "Offset after the last folded record")),
+      rules_version(registry.GetGauge("carobrill_rules_version",
+                                      "Version of the rules in force")),
+      log_available(registry.GetGauge("carobrill_log_available",
+                                      "1 while the log service answers")),
+      planning_now(registry.GetGauge("carobrill_planning",
+                                     "1 while this entry plans placements")),
+      plan_proposals(
+          registry.GetGauge("carobrill_plan_proposals",
+                            "Records that this entry's planner proposed")),
+      plan_rejected(
+          registry.GetGauge("carobrill_plan_rejected",
+                            "Records of this entry's planner that the fold "
+                            "rejected")),
+      agents_heard(registry.GetGauge("carobrill_agents_heard",
+                                     "Agents that announce themselves here")),
+      control_bytes(
+          registry.GetGauge("carobrill_control_bytes_per_second",
+                            "Announcements and digests, both directions")),
+      queued_requests(registry.GetGauge("carobrill_requests_queued",
+                                        "Requests that wait for a slot")),
+      attempts_in_flight(registry.GetGauge("carobrill_attempts_in_flight",
+                                           "Attempts sent and not answered")),
+      requests_shed(registry.GetGauge("carobrill_requests_shed",
+                                      "Requests refused under load")),
+      requests_retried(registry.GetGauge("carobrill_requests_retried",
+                                         "Attempts that were repeated")),
+      requests_hedged(registry.GetGauge("carobrill_requests_hedged",
+                                        "Second attempts of slow requests")),
+      jobs_waiting(
+          registry.GetGauge("carobrill_jobs_waiting", "Jobs that wait")),
+      guarantee_at_risk(registry.GetGauge(
+          "carobrill_guarantee_at_risk_accelerators",
+          "Guaranteed accelerators that the hardware cannot hold")) {}
+
+void EntryMetrics::OnFolded(records::Verdict verdict) {
+  Counter*& counter = this->folded[verdict];
+  if (counter == nullptr) {
+    counter = &this->registry.GetCounter(
+        "carobrill_records_folded_total", "Folded records by verdict",
+        {{"verdict", std::string(NameOf(verdict))}});
+  }
+  counter->Increment();
+}
+
+void EntryMetrics::Refresh(const EntrySession& session,
+                           const membership::Directory& directory,
+                           const RequestPath& requests,
+                           const PlanningLoop& planning,
+                           Instant now) {
+  this->applied_offset.Set(static_cast<double>(session.AppliedOffset()));
+  this->rules_version.Set(
+      static_cast<double>(session.State().Rules().Version()));
+  this->log_available.Set(session.InOutage() ? 0 : 1);
+  this->planning_now.Set(planning.Planning() ? 1 : 0);
+  this->plan_proposals.Set(static_cast<double>(planning.Counters().proposals));
+  this->plan_rejected.Set(static_cast<double>(planning.Counters().rejected));
+  this->agents_heard.Set(static_cast<double>(directory.HeardDirectly()));
+  this->control_bytes.Set(
+      static_cast<double>(directory.Traffic().BytesPerSecond(now)));
+  const auto& dispatcher = requests.Dispatcher();
+  this->queued_requests.Set(static_cast<double>(dispatcher.QueueSize()));
+  this->attempts_in_flight.Set(static_cast<double>(dispatcher.InFlight()));
+  this->requests_shed.Set(static_cast<double>(dispatcher.Counters().shed));
+  this->requests_retried.Set(
+      static_cast<double>(dispatcher.Counters().retries));
+  this->requests_hedged.Set(static_cast<double>(dispatcher.Counters().hedges));
+  double waiting = 0;
+  double at_risk = 0;
+  for (const auto& account : session.State().GetCluster().Accounts()) {
+    waiting += account.waiting_jobs;
+    at_risk += account.at_risk;
+  }
+  this->jobs_waiting.Set(waiting);
+  this->guarantee_at_risk.Set(at_risk);
+}
+
+}  // namespace carobrill::daemon
--- /dev/null
+++ b/packages/daemon/entry_session.h
@@ -0,0 +1,17 @@
+#ifndef PACKAGES_DAEMON_ENTRY_SESSION_H_
+#define PACKAGES_DAEMON_ENTRY_SESSION_H_
+
+#include "packages/core/task_scheduler.h"
+#include "packages/daemon/fold.h"
+#include "packages/ledger/log_session.h"
+#include "packages/platform/log_client.h"
+
+namespace carobrill::daemon {
+
+/// The log session of an entry.
+using EntrySession =
+    ledger::LogSession<platform::LogClient, Fold, TaskScheduler>;
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_ENTRY_SESSION_H_
--- /dev/null
+++ b/packages/daemon/fold.h
@@ -0,0 +1,58 @@
+#ifndef PACKAGES_DAEMON_FOLD_H_
+#define PACKAGES_DAEMON_FOLD_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "packages/core/result.h"
+#include "packages/records/foldable.h"
+#include "packages/requests/claim_table.h"
+#include "packages/rules/rule_book.h"
+#include "packages/scheduling/cluster.h"
+
+namespace carobrill::daemon {
+
+/// The scheduling part of a rule file.
+scheduling::Policy PolicyOf(const rules::RuleSet& rules);
+
+/// The whole replicated state of an entry: rules, cluster and claims.
+class Fold {
+ public:
+  Fold(scheduling::Cluster cluster, requests::ClaimTable claims)
+      : cluster(std::move(cluster)), claims(std::move(claims)) {}
+
+  /// Reads the state charts in `charts_directory`. Fails with ChartError.
+  static Result<Fold> Create(const std::string& charts_directory);
+
+  /// Applies one record to the component that it is for.
+  records::Verdict Apply(const records::Record& record,
+                         Offset offset,
+                         Instant appended_at);
+  void Save(records::Snapshot& out) const;
+  bool Load(const records::Snapshot& in);
+  std::uint64_t Hash() const;
+
+  /// What `Apply` would make of a publication now.
+  records::Verdict CheckRules(const records::RulesPublished& published,
+                              rules::RuleSet* parsed) const;
+
+  const rules::RuleBook& Rules() const { return this->rules; }
+  const scheduling::Cluster& GetCluster() const { return this->cluster; }
+  const requests::ClaimTable& Claims() const { return this->claims; }
+
+ private:
+  records::Verdict ApplyRules(const records::RulesPublished& published,
+                              Offset offset,
+                              Instant appended_at);
+
+  rules::RuleBook rules;
+  scheduling::Cluster cluster;
+  requests::ClaimTable claims;
+};
+
+static_assert(records::Foldable<Fold>);
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_FOLD_H_
--- /dev/null
+++ b/packages/daemon/gang_coordinator.cc
@@ -0,0 +1,197 @@
+#include "packages/daemon/gang_coordinator.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace carobrill::daemon {
+namespace {
+
+using scheduling::Job;
+using scheduling::JobState;
+
+// Short enough that a lost call costs little of the 1.9 s in which urgent work
+// has to start.
+constexpr std::int64_t kCallTimeoutMs = 500;
+constexpr std::int64_t kCallIntervalMs = 250;
+
+rpc::GangMember BodyOf(const scheduling::Cluster& cluster,
+                       const Job& job,
+                       std::uint32_t member,
+                       const membership::KnownWorker* watcher) {
+  const auto size = cluster.EffectiveSize(job.spec);
+  const auto& cell = job.members[member];
+  rpc::GangMember body;
+  body.set_job(job.id.value);
+  body.set_attempt(job.attempt);
+  body.set_member(member);
+  body.set_members(static_cast<std::uint32_t>(job.members.size()));
+  body.set_first_accelerator(cell.first_accelerator);
+  body.set_accelerators(cell.accelerators);
+  body.set_cores_milli(size.cores_milli);
+  body.set_memory_mb(size.memory_mb);
+  body.set_run_ms(job.spec.expected_run_ms());
+  body.set_payload(job.spec.payload());
+  body.set_checkpoint(job.checkpoint);
+  body.set_can_checkpoint(job.spec.preemption() ==
+                          records::PREEMPTION_CHECKPOINT);
+  if (watcher != nullptr) {
+    body.set_watcher(watcher->agent.value);
+    body.set_watcher_address(watcher->address);
+    body.set_watcher_incarnation(watcher->agent_incarnation);
+  }
+  return body;
+}
+
+const membership::KnownWorker* FindWorker(const WorkerMap& workers,
+                                          const WorkerId& id) {
+  const auto found = workers.find(id);
+  return found == workers.end() ? nullptr : &found->second;
+}
+
+// A cancelled gang has no use for a checkpoint.
+bool WantsCheckpoint(const Job& job) {
+  return !job.cancel_requested &&
+         job.spec.preemption() == records::PREEMPTION_CHECKPOINT;
+}
+
+}  // namespace
+
+std::vector<MemberCall> GangCoordinator::Step(
+    const scheduling::Cluster& cluster,
+    const WorkerMap& workers,
+    Instant now) {
+  this->ForgetSettled(cluster);
+  std::vector<MemberCall> calls;
+  this->StepState(cluster, JobState::kPlaced, MemberCallKind::kPrepare, workers,
+                  now, calls);
+  this->StepState(cluster, JobState::kStarting, MemberCallKind::kStart, workers,
+                  now, calls);
+  this->StepState(cluster, JobState::kStopping, MemberCallKind::kStop, workers,
+                  now, calls);
+  return calls;
+}
+
+void GangCoordinator::OnReply(const MemberCallId& id,
+                              const rpc::MemberReply& reply) {
+  MemberProgress* member = this->Find(id);
+  if (member == nullptr) {
+    return;
+  }
+  member->call_open = false;
+  member->accepted = reply.accepted();
+  member->refusal = reply.accepted() ? rpc::REFUSAL_NONE : reply.refusal();
+}
+
+void GangCoordinator::OnFailure(const MemberCallId& id) {
+  if (MemberProgress* member = this->Find(id)) {
+    member->call_open = false;
+  }
+}
+
+std::vector<scheduling::GangReport> GangCoordinator::Reports(
+    const scheduling::Cluster& cluster) const {
+  std::vector<scheduling::GangReport> reports;
+  for (const auto& [id, gang] : this->gangs) {
+    const Job* job = cluster.FindJob(id);
+    if (job == nullptr || job->attempt != gang.attempt ||
+        job->state != JobState::kPlaced) {
+      continue;
+    }
+    const bool prepared = std::ranges::all_of(
+        gang.members, [](const auto& member) { return member.accepted; });
+    const bool refused = std::ranges::any_of(
+        gang.members,
+        [](const auto& member) { return member.refusal != rpc::REFUSAL_NONE; });
+    if (prepared || refused) {
+      scheduling::GangReport report;
+      report.job = id;
+      report.attempt = gang.attempt;
+      report.phase = prepared ? scheduling::GangPhase::kPrepared
+                              : scheduling::GangPhase::kRefused;
+      reports.push_back(std::move(report));
+    }
+  }
+  return reports;
+}
+
+void GangCoordinator::Reset() {
+  this->gangs.clear();
+}
+
+void GangCoordinator::StepState(const scheduling::Cluster& cluster,
+                                JobState state,
+                                MemberCallKind kind,
+                                const WorkerMap& workers,
+                                Instant now,
+                                std::vector<MemberCall>& calls) {
+  for (const auto& [since, id] : cluster.InState(state)) {
+    const Job* job = cluster.FindJob(id);
+    // Members are prepared only when no victim holds their cells any more.
+    if (job != nullptr && job->pending_victims.empty()) {
+      this->StepGang(cluster, *job, kind, workers, now, calls);
+    }
+  }
+}
+
+void GangCoordinator::StepGang(const scheduling::Cluster& cluster,
+                               const Job& job,
+                               MemberCallKind kind,
+                               const WorkerMap& workers,
+                               Instant now,
+                               std::vector<MemberCall>& calls) {
+  Gang& gang = this->GangOf(job, kind);
+  const auto* watcher = FindWorker(workers, job.members.front().worker);
+  for (std::uint32_t i = 0; i < gang.members.size(); ++i) {
+    MemberProgress& member = gang.members[i];
+    const auto* worker = FindWorker(workers, job.members[i].worker);
+    if (member.accepted || member.call_open || now < member.call_at ||
+        worker == nullptr ||
+        worker->agent_incarnation != job.members[i].incarnation) {
+      continue;
+    }
+    MemberCall call;
+    call.id = {job.id, job.attempt, i, kind};
+    call.agent = worker->agent;
+    call.agent_incarnation = worker->agent_incarnation;
+    call.address = worker->address;
+    call.checkpoint = WantsCheckpoint(job);
+    call.deadline = now.After(kCallTimeoutMs);
+    call.body = BodyOf(cluster, job, i, watcher);
+    calls.push_back(std::move(call));
+    member.call_open = true;
+    member.call_at = now.After(kCallIntervalMs);
+  }
+}
+
+GangCoordinator::Gang& GangCoordinator::GangOf(const Job& job,
+                                               MemberCallKind kind) {
+  Gang& gang = this->gangs[job.id];
+  if (gang.members.empty() || gang.attempt != job.attempt ||
+      gang.step != kind) {
+    gang.attempt = job.attempt;
+    gang.step = kind;
+    gang.members.assign(job.members.size(), MemberProgress{});
+  }
+  return gang;
+}
+
+GangCoordinator::MemberProgress* GangCoordinator::Find(const MemberCallId& id) {
+  const auto found = this->gangs.find(id.job);
+  if (found == this->gangs.end() || found->second.attempt != id.attempt ||
+      found->second.step != id.kind ||
+      id.member >= found->second.members.size()) {
+    return nullptr;
+  }
+  return &found->second.members[id.member];
+}
+
+void GangCoordinator::ForgetSettled(const scheduling::Cluster& cluster) {
+  std::erase_if(this->gangs, [&](const auto& entry) {
+    const Job* job = cluster.FindJob(entry.first);
+    return job == nullptr || job->state == JobState::kRunning ||
+           !scheduling::HoldsCells(job->state);
+  });
+}
+
+}  // namespace carobrill::daemon
--- /dev/null
+++ b/packages/daemon/worker_registrar.h
@@ -0,0 +1,36 @@
+#ifndef PACKAGES_DAEMON_WORKER_REGISTRAR_H_
+#define PACKAGES_DAEMON_WORKER_REGISTRAR_H_
+
+#include <map>
+
+#include "packages/core/time.h"
+#include "packages/daemon/entry_session.h"
+#include "packages/daemon/proposer.h"
+#include "packages/rpc/control.pb.h"
+
+namespace carobrill::daemon {
+
+/// Registers the workers whose agents announce themselves to this entry, and
+/// drains those whose agents leave. Used on the entry's task only.
+class WorkerRegistrar {
+ public:
+  WorkerRegistrar(EntrySession& session, Proposer& proposer)
+      : session(session), proposer(proposer) {}
+
+  /// Takes an accepted announcement.
+  void OnAnnounce(const rpc::AnnounceRequest& announcement, Instant now);
+
+ private:
+  bool MayPropose(const WorkerId& worker, Instant now);
+  void Register(const rpc::AnnounceRequest& announcement, Instant now);
+  void Drain(const scheduling::Worker& worker, Instant now);
+
+  EntrySession& session;
+  Proposer& proposer;
+  /// When the next proposal about a worker may be made.
+  std::map<WorkerId, Instant> propose_at;
+};
+
+}  // namespace carobrill::daemon
+
+#endif  // PACKAGES_DAEMON_WORKER_REGISTRAR_H_
