--- a/tests/ledger/log_session_test.cc
+++ b/tests/ledger/log_session_test.cc
@@ -229,6 +229,38 @@
   CHECK(writer.Hash() == other.Hash());
 }
 
+// Guards against a peer that still holds the state of the lineage before and
+// sets back a replica whose offset has expired.
+TEST_CASE("holds.recovery: a peer of the lineage before changes nothing") {
+  World world;
+  Node node("a", 1, world.log, world.scheduler);
+  Node former("b", 1, world.log, world.scheduler);
+  world.scheduler.RunFor(2'000);
+  ProposeMany(node, "n", 10);
+  world.scheduler.RunFor(2'000);
+  former.store.outage = true;
+  world.log.StartLineage(false);
+  node.plans = true;
+  world.scheduler.RunFor(10'000);
+  REQUIRE(node.session->Lineage() == "lineage-2");
+  Node other("c", 1, world.log, world.scheduler);
+  world.scheduler.RunFor(5'000);
+  node.store.outage = true;
+  ProposeMany(other, "m", 10);
+  world.scheduler.RunFor(2'000);
+  world.log.ExpireBefore(std::string(kRecords), 5);
+  node.peer = &former;
+  node.store.outage = false;
+  world.scheduler.RunFor(10'000);
+  CHECK_FALSE(node.session->Ready());
+  CHECK(node.session->Lineage() == "lineage-2");
+  node.peer = &other;
+  world.scheduler.RunFor(10'000);
+  CHECK(node.session->Ready());
+  CHECK(node.State().names.size() == 20);
+  CHECK(node.Hash() == other.Hash());
+}
+
 // Guards against a state that is set back when the log restarts empty or from
 // an old copy, and against replicas that part ways afterwards.
 TEST_CASE("holds.recovery: a new lineage starts from the current state") {
--- /dev/null
+++ b/tests/ledger/replica_test.cc
@@ -0,0 +1,270 @@
+#include "packages/ledger/replica.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "packages/ledger/peer_sync.h"
+#include "packages/ledger/snapshot_assembler.h"
+#include "packages/ledger/snapshot_writer.h"
+#include "tests/ledger/simulation.h"
+
+namespace carobrill::ledger {
+namespace {
+
+constexpr std::int64_t kStart = 1'000'000'000'000;
+
+/// Records with repeats, damage, writers that restart, long silences and a log
+/// clock that runs backwards at times.
+std::vector<StoreRecord> RandomRecords(std::mt19937& random) {
+  struct Process {
+    records::Writer writer;
+    std::uint64_t sequence = 0;
+  };
+  std::vector<StoreRecord> stored;
+  std::vector<Process> processes(3);
+  std::int64_t now = kStart;
+  for (Offset offset = 0; offset < 80; ++offset) {
+    now += std::uniform_int_distribution<std::int64_t>(
+        0, random() % 10 == 0 ? 60 * 3600 * 1000 : 900)(random);
+    Process& process = processes[random() % processes.size()];
+    if (process.sequence == 0 || random() % 15 == 0) {
+      const auto born = static_cast<std::uint64_t>(now) * 1000 + offset;
+      process = {WriterNamed(std::to_string(random() % 3), born), 0};
+    }
+    std::string data;
+    if (!stored.empty() && random() % 4 == 0) {
+      data = stored[random() % stored.size()].data;
+    } else {
+      process.sequence += 1 + random() % 2;
+      auto record = NamedRecord(std::to_string(offset));
+      *record.mutable_writer() = process.writer;
+      record.set_sequence(process.sequence);
+      data = record.SerializeAsString();
+    }
+    if (random() % 8 == 0) {
+      data = Mutated(data, random);
+    }
+    stored.push_back(
+        {offset, Instant{now - static_cast<std::int64_t>(random() % 2'000)},
+         data});
+  }
+  return stored;
+}
+
+std::mt19937 RandomSource() {
+  return std::mt19937(
+      *rc::gen::resize(100, rc::gen::arbitrary<std::uint32_t>()));
+}
+
+/// A snapshot through its chunks: cut, out of order, repeated, among damaged
+/// ones.
+records::Snapshot Transferred(const records::Snapshot& snapshot,
+                              std::mt19937& random) {
+  std::vector<std::string> stored;
+  for (const auto& chunk :
+       SplitSnapshot(snapshot, WriterNamed("a"), 20 + random() % 200)) {
+    const std::string data = chunk.SerializeAsString();
+    stored.insert(stored.end(), {data, data, Mutated(data, random)});
+  }
+  std::shuffle(stored.begin(), stored.end(), random);
+  SnapshotAssembler assembler;
+  std::optional<records::Snapshot> result;
+  for (Offset offset = 0; offset < stored.size(); ++offset) {
+    if (auto whole = assembler.Add({offset, Instant{1}, stored[offset]})) {
+      if (whole->SerializeAsString() == snapshot.SerializeAsString()) {
+        result = std::move(whole);
+      }
+    }
+  }
+  // A damaged chunk may open more snapshots than are kept; then the stream is
+  // read without damage.
+  return result.value_or(snapshot);
+}
+
+// Guards against replicas that differ because they started from the beginning,
+// a snapshot or a peer, or met repeats and damaged records; and against a
+// record that is applied twice or, from a known writer, not at all.
+TEST_CASE("holds.replicas_agree: every way to a state gives the same hash") {
+  std::map<FoldStatus, int> statuses;
+  const bool passed = rc::check([&] {
+    std::mt19937 random = RandomSource();
+    const auto stored = RandomRecords(random);
+    const std::size_t cut = random() % stored.size();
+    Replica<NameFold> whole;
+    whole.StartLineage("lineage-1", 0);
+    Replica<NameFold> loaded;
+    Replica<NameFold> behind = whole;
+    Backlog backlog;
+    backlog.Reset("lineage-1", 0);
+    std::map<std::string, std::int64_t> last_append;
+    std::set<std::string> applied;
+    for (std::size_t i = 0; i < stored.size(); ++i) {
+      if (i == cut) {
+        RC_ASSERT(loaded.Load(Transferred(whole.Save(), random)));
+        RC_ASSERT(loaded.NextOffset() == cut);
+        behind = whole;
+      }
+      const Instant before = whole.LogTime();
+      const FoldedRecord folded = whole.Apply(stored[i]);
+      ++statuses[folded.status];
+      RC_ASSERT(whole.LogTime() >= before);
+      backlog.Add(stored[i]);
+      if (i >= cut) {
+        const FoldedRecord same = loaded.Apply(stored[i]);
+        RC_ASSERT(same.status == folded.status);
+        RC_ASSERT(same.verdict == folded.verdict);
+        RC_ASSERT(loaded.Hash() == whole.Hash());
+      }
+      if (folded.status == FoldStatus::kMalformed) {
+        RC_ASSERT(whole.State().Hash() == loaded.State().Hash() || i < cut);
+        continue;
+      }
+      const records::Writer& writer = folded.record.writer();
+      const auto known = last_append.find(writer.SerializeAsString());
+      const std::int64_t limit =
+          whole.LogTime().ms - WriterPositions::kMemoryMs;
+      if (known != last_append.end() && known->second >= limit) {
+        RC_ASSERT(folded.status != FoldStatus::kForgottenWriter);
+      }
+      if (folded.status == FoldStatus::kApplied) {
+        // A damaged record is another record, so names may come twice.
+        RC_ASSERT(applied.insert(stored[i].data).second);
+        last_append[writer.SerializeAsString()] = whole.LogTime().ms;
+      }
+    }
+    const PeerState answer =
+        ServePeer(whole, backlog, {"lineage-1", behind.NextOffset()});
+    RC_ASSERT(!answer.IsFull());
+    for (const auto& record : answer.records) {
+      behind.Apply(record);
+    }
+    const std::string state = whole.Save().SerializeAsString();
+    RC_ASSERT(behind.Save().SerializeAsString() == state);
+    RC_ASSERT(loaded.Save().SerializeAsString() == state);
+    const PeerState full = ServePeer(whole, backlog, {"", 0});
+    RC_ASSERT(full.snapshot == state);
+    RC_ASSERT(ServePeer(whole, backlog, {"lineage-1", 81}).records.empty());
+  });
+  CHECK(passed);
+  CHECK(statuses[FoldStatus::kApplied] > 0);
+  CHECK(statuses[FoldStatus::kRepeat] > 0);
+  CHECK(statuses[FoldStatus::kForgottenWriter] > 0);
+  CHECK(statuses[FoldStatus::kMalformed] > 0);
+}
+
+// Guards against bytes that crash a replica, are treated differently by two
+// replicas, or leave a half loaded state behind.
+TEST_CASE("holds.replicas_agree: any bytes are treated alike and harmlessly") {
+  const bool passed = rc::check([](const std::vector<std::string>& noise) {
+    std::mt19937 random = RandomSource();
+    Replica<NameFold> one;
+    one.StartLineage("lineage-1", 0);
+    for (const auto& stored : RandomRecords(random)) {
+      one.Apply(stored);
+    }
+    Replica<NameFold> other;
+    RC_ASSERT(other.Load(one.Save()));
+    const std::string good = one.Save().SerializeAsString();
+    const std::string chunk =
+        SplitSnapshot(one.Save(), WriterNamed("a"))[0].SerializeAsString();
+    std::vector<std::string> inputs = noise;
+    for (int i = 0; i < 20; ++i) {
+      inputs.push_back(Mutated(random() % 2 == 0 ? good : chunk, random));
+    }
+    SnapshotAssembler assembler;
+    for (const auto& bytes : inputs) {
+      const StoreRecord stored{one.NextOffset(), Instant{kStart}, bytes};
+      RC_ASSERT(one.Apply(stored).status == other.Apply(stored).status);
+      RC_ASSERT(one.Hash() == other.Hash());
+      auto snapshot = assembler.Add(stored).value_or(records::Snapshot{});
+      const std::uint64_t before = one.Hash();
+      if (snapshot.lineage().empty() && !snapshot.ParseFromString(bytes)) {
+        continue;
+      }
+      const bool loaded = one.Load(snapshot);
+      RC_ASSERT(other.Load(snapshot) == loaded);
+      RC_ASSERT(one.Hash() == (loaded ? snapshot.state_hash() : before));
+      RC_ASSERT(one.Hash() == other.Hash());
+      RC_ASSERT(assembler.Unfinished() <= SnapshotAssembler::kMaxUnfinished);
+    }
+  });
+  CHECK(passed);
+}
+
+// Guards against records that are taken without the name that tells repeats
+// apart, and against a log clock that runs backwards in the state.
+TEST_CASE("holds.replicas_agree: records without a name are malformed") {
+  Replica<NameFold> replica;
+  records::Record record = NamedRecord("x");
+  const auto apply = [&](Offset offset, std::int64_t ms) {
+    return replica.Apply({offset, Instant{ms}, record.SerializeAsString()});
+  };
+  record.set_sequence(1);
+  CHECK(apply(0, 9).status == FoldStatus::kMalformed);
+  *record.mutable_writer() = WriterNamed("a");
+  record.set_sequence(0);
+  CHECK(apply(1, 9).status == FoldStatus::kMalformed);
+  record.set_sequence(1);
+  record.clear_job_cancelled();
+  CHECK(apply(2, 9).verdict == records::Verdict::kMalformed);
+  *record.mutable_job_cancelled() = NamedRecord("x").job_cancelled();
+  const FoldedRecord folded = apply(3, 5);
+  CHECK(folded.status == FoldStatus::kApplied);
+  CHECK(folded.appended_at == Instant{9});
+  CHECK(apply(4, 10).verdict == records::Verdict::kDuplicate);
+  CHECK(replica.Counts().malformed == 3);
+}
+
+// Guards against a snapshot of unequal parts, a chunk that claims much memory,
+// and unfinished snapshots without a limit.
+TEST_CASE("holds.recovery: chunks that do not belong together are refused") {
+  const auto add = [](SnapshotAssembler& assembler, auto change) {
+    records::Snapshot parts;
+    parts.set_lineage("lineage-1");
+    parts.set_covered_offset(5);
+    records::SnapshotChunk chunk = SplitSnapshot(parts, WriterNamed("a"))[0];
+    change(chunk);
+    return assembler.Add({0, Instant{1}, chunk.SerializeAsString()});
+  };
+  records::Snapshot large;
+  large.set_lineage("lineage-1");
+  large.set_covered_offset(5);
+  large.set_rules(std::string(kMaxChunkBytes, ' '));
+  SnapshotAssembler assembler;
+  CHECK(add(assembler, [](auto&) {}).has_value());
+  CHECK_FALSE(add(assembler, [](auto& c) { c.set_lineage("x"); }).has_value());
+  CHECK_FALSE(
+      add(assembler, [](auto& c) { c.set_covered_offset(9); }).has_value());
+  CHECK_FALSE(add(assembler, [](auto& c) { c.set_state_hash(9); }).has_value());
+  CHECK_FALSE(add(assembler, [](auto& c) { c.set_count(0); }).has_value());
+  CHECK_FALSE(add(assembler, [](auto& c) { c.set_index(1); }).has_value());
+  CHECK_FALSE(add(assembler, [](auto& c) { c.clear_writer(); }).has_value());
+  CHECK_FALSE(
+      add(assembler, [](auto& c) { c.set_count(1U << 30); }).has_value());
+  CHECK_FALSE(add(assembler, [&](auto& c) {
+                c.set_data(large.SerializeAsString());
+              }).has_value());
+  CHECK(assembler.MalformedChunks() == 8);
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    add(assembler, [&](auto& c) {
+      c.set_count(2);
+      c.set_covered_offset(i);
+    });
+  }
+  CHECK(assembler.Unfinished() == SnapshotAssembler::kMaxUnfinished);
+  // The newest snapshots are kept, not the ones that were begun first.
+  CHECK(add(assembler, [&](auto& c) {
+          c.set_count(2);
+          c.set_index(1);
+          c.set_covered_offset(49);
+        }).has_value() == false);
+  CHECK(assembler.Unfinished() == SnapshotAssembler::kMaxUnfinished - 1);
+}
+
+}  // namespace
+}  // namespace carobrill::ledger
--- a/tests/ledger/simulation.h
+++ b/tests/ledger/simulation.h
@@ -154,25 +154,20 @@
     return records::Verdict::kAccepted;
   }
 
+  // Any message with a list of texts will do: names may hold any character.
   void Save(records::Snapshot& out) const {
-    std::string joined;
-    for (const auto& name : this->names) {
-      joined += name + '\n';
-    }
-    out.set_scheduling(joined);
+    records::GangPlaced list;
+    list.mutable_victims()->Assign(this->names.begin(), this->names.end());
+    out.set_scheduling(list.SerializeAsString());
   }
 
   bool Load(const records::Snapshot& in) {
-    std::size_t begin = 0;
-    while (begin < in.scheduling().size()) {
-      const auto end = in.scheduling().find('\n', begin);
-      if (end == std::string::npos) {
-        return false;
-      }
-      this->names.push_back(in.scheduling().substr(begin, end - begin));
-      this->known.insert(this->names.back());
-      begin = end + 1;
+    records::GangPlaced list;
+    if (!list.ParseFromString(in.scheduling())) {
+      return false;
     }
+    this->names.assign(list.victims().begin(), list.victims().end());
+    this->known = {this->names.begin(), this->names.end()};
     return true;
   }
 
--- a/tests/rules/rule_book_test.cc
+++ b/tests/rules/rule_book_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "packages/records/foldable.h"
+#include "packages/rules/rule_book.pb.h"
 
 namespace carobrill::rules {
 namespace {
@@ -70,6 +71,15 @@
   CHECK(book.Hash() == hash);
 }
 
+// Guards against replicas whose audit trails differ unnoticed.
+TEST_CASE("holds.replicas_agree: the hash covers the audit trail") {
+  RuleBook one;
+  RuleBook other;
+  one.Apply(Publication(0, Quota("a", 1)), 5, Instant{50});
+  other.Apply(Publication(0, Quota("a", 1)), 6, Instant{50});
+  CHECK(one.Hash() != other.Hash());
+}
+
 // Guards against an audit trail that grows without bound, and against replicas
 // that differ after one was loaded from a snapshot.
 TEST_CASE("holds.replicas_agree: a long history is bounded and survives") {
@@ -91,11 +101,61 @@
   book.Apply(next, 999, Instant{2});
   copy.Apply(next, 999, Instant{2});
   CHECK(copy.Hash() == book.Hash());
-  snapshot.set_rules("\xff");
-  CHECK_FALSE(copy.Load(snapshot));
+  SavedRuleBook invalid;
+  invalid.set_text("account\n");
+  for (const std::string& section :
+       {std::string("\xff"), invalid.SerializeAsString()}) {
+    snapshot.set_rules(section);
+    CHECK_FALSE(copy.Load(snapshot));
+  }
   CHECK(copy.Hash() == book.Hash());
 }
 
+// Guards against an audit trail of large files that fills the memory and the
+// snapshots.
+TEST_CASE("holds.rules: the audit trail is bounded by its bytes") {
+  RuleBook book;
+  for (std::uint64_t i = 0; i < 15; ++i) {
+    std::string text;
+    for (int line = 0; line < 100; ++line) {
+      text += "account a" + std::to_string(line) +
+              " quota=" + std::to_string(i) +
+              " # asked by: " + std::string(900, 'A') + "\n";
+    }
+    REQUIRE(book.Apply(Publication(i, text), i, Instant{1}) ==
+            Verdict::kAccepted);
+  }
+  CHECK(book.History().size() <= 6);
+  CHECK(book.History().back().version == 15);
+}
+
+// Guards against a damaged snapshot that crashes a replica, leaves half a state
+// behind, or is taken differently by two replicas.
+TEST_CASE("holds.replicas_agree: a damaged section is taken alike or refused") {
+  RuleBook book;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    book.Apply(Publication(i, Quota("a", static_cast<int>(i))), i, Instant{1});
+  }
+  records::Snapshot good;
+  book.Save(good);
+  int refused = 0;
+  const bool passed =
+      rc::check([&](std::uint32_t at, const std::string& noise) {
+        records::Snapshot damaged = good;
+        std::string& section = *damaged.mutable_rules();
+        section.replace(at % section.size(), noise.size(), noise);
+        RuleBook one = book;
+        RuleBook other;
+        const bool loaded = one.Load(damaged);
+        RC_ASSERT(other.Load(damaged) == loaded);
+        RC_ASSERT(one.Hash() == (loaded ? other.Hash() : book.Hash()));
+        RC_ASSERT(one.Rules() == (loaded ? other.Rules() : book.Rules()));
+        refused += loaded ? 0 : 1;
+      });
+  CHECK(passed);
+  CHECK(refused > 0);
+}
+
 std::multiset<std::string> Patched(const std::string& text,
                                    const RuleDiff& diff) {
   const auto lines = RuleLines(text);
--- a/tests/rules/rule_parser_test.cc
+++ b/tests/rules/rule_parser_test.cc
@@ -87,6 +87,7 @@
       {"account a guarantee=2x8@worker quota=15" + by,
        Kind::kQuotaBelowGuarantee, 38},
       {"account a \x01" + by, Kind::kInvalidCharacter, 11},
+      {"account a \x7f" + by, Kind::kInvalidCharacter, 11},
       {"account a # asked by: \xff", Kind::kInvalidCharacter, 23},
       {std::string(kMaxRuleLineBytes + 1, '#'), Kind::kLineTooLong,
        kMaxRuleLineBytes + 1},
