--- /dev/null
+++ b/packages/scheduling/placement_step.h
@@ -0,0 +1,400 @@
+#ifndef PACKAGES_SCHEDULING_PLACEMENT_STEP_H_
+#define PACKAGES_SCHEDULING_PLACEMENT_STEP_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "packages/scheduling/cluster.h"
+#include "packages/scheduling/placement.h"
+#include "packages/scheduling/planner.h"
+#include "packages/scheduling/reservation.h"
+
+namespace carobrill::scheduling {
+
+/// The placements of one plan: walks the queue in order and claims cells on a
+/// copy of the board. Jobs with equal demands are tried once per plan, so the
+/// cost depends on the number of different demands and not on queued jobs.
+template <CellFilter Filter>
+class PlacementStep {
+ public:
+  PlacementStep(const Cluster& state,
+                const PlannerSettings& step_settings,
+                Instant log_time,
+                Filter filter)
+      : cluster(state),
+        settings(step_settings),
+        now(log_time),
+        finder(state.GetBoard(), std::move(filter)) {}
+
+  /// Appends GangPlaced records to `plan`. Jobs in `excluded` are left alone.
+  void Run(const std::set<JobId>& excluded, Plan& plan);
+
+ private:
+  /// Jobs of one queue that are still to be tried.
+  struct Group {
+    const QueueKey* key = nullptr;
+    std::set<QueueEntry>::const_iterator head;
+    std::set<QueueEntry>::const_iterator end;
+    AccountIndex account = kNoAccount;
+    std::uint32_t share = 1;
+    std::uint32_t cell = 0;
+  };
+  /// Position of a group's head in the order; the smallest comes first.
+  struct Rank {
+    int job_class = 0;
+    bool fresh = false;
+    /// Borrowed accelerators over share, in thousandths; 0 once aged.
+    std::uint64_t share_used = 0;
+    std::int64_t order_ms = 0;
+    Offset submitted_offset = 0;
+    std::size_t group = 0;
+
+    auto operator<=>(const Rank&) const = default;
+  };
+  /// What a plan has claimed for an account so far.
+  struct Claimed {
+    std::uint32_t in_use = 0;
+    std::uint32_t borrowed = 0;
+  };
+
+  std::vector<Group> Groups() const;
+  void SkipExcluded(Group& group, const std::set<JobId>& excluded) const;
+  Rank RankOf(const std::vector<Group>& groups, std::size_t index) const;
+  std::uint32_t GuaranteeLeft(const Group& group) const;
+  bool WithinQuota(const Group& group) const;
+  std::optional<PlacementChoice> TryGroup(const Group& group);
+  std::optional<PlacementChoice> TryMode(const PlacementRequest& request,
+                                         PlacementMode mode);
+  void Hold(const Group& group);
+  void PlaceOnProbation(std::vector<Group>& groups,
+                        const std::set<JobId>& excluded,
+                        Plan& plan);
+  void Claim(Group& group,
+             const PlacementChoice& choice,
+             const std::set<JobId>& excluded,
+             Plan& plan);
+  records::Record RecordOf(const Job& job, const PlacementChoice& choice) const;
+
+  const Cluster& cluster;
+  const PlannerSettings& settings;
+  Instant now;
+  PlacementFinder<Filter> finder;
+  std::map<AccountId, Claimed> claimed;
+  std::optional<Reservation> reservation;
+  /// Account (for guaranteed modes), mode, whether the reservation is avoided,
+  /// and adjacency.
+  using AttemptKey =
+      std::tuple<AccountIndex, PlacementMode, bool, records::Adjacency>;
+
+  /// Demands that failed; claims only grow within a plan, so the same and
+  /// larger ones fail again.
+  std::map<AttemptKey, std::vector<Demand>> failed;
+  std::set<AccountIndex> held_accounts;
+
+  static bool AtLeast(const Demand& demand, const Demand& smaller) {
+    return demand.members >= smaller.members &&
+           demand.size.accelerators >= smaller.size.accelerators &&
+           demand.size.cores_milli >= smaller.size.cores_milli &&
+           demand.size.memory_mb >= smaller.size.memory_mb;
+  }
+};
+
+template <CellFilter Filter>
+void PlacementStep<Filter>::Run(const std::set<JobId>& excluded, Plan& plan) {
+  std::vector<Group> groups = this->Groups();
+  for (Group& group : groups) {
+    this->SkipExcluded(group, excluded);
+  }
+  this->PlaceOnProbation(groups, excluded, plan);
+  std::priority_queue<Rank, std::vector<Rank>, std::greater<>> order;
+  const auto enter = [&](std::size_t index) {
+    if (groups[index].head != groups[index].end) {
+      order.push(this->RankOf(groups, index));
+    }
+  };
+  for (std::size_t index = 0; index < groups.size(); ++index) {
+    enter(index);
+  }
+  std::uint32_t placed = 0;
+  while (!order.empty() && placed < this->settings.max_placements) {
+    const Rank rank = order.top();
+    order.pop();
+    // Claims of the same plan only ever move an account back.
+    if (this->RankOf(groups, rank.group) > rank) {
+      enter(rank.group);
+      continue;
+    }
+    Group& group = groups[rank.group];
+    if (!this->WithinQuota(group)) {
+      continue;
+    }
+    if (const auto choice = this->TryGroup(group)) {
+      this->Claim(group, *choice, excluded, plan);
+      ++placed;
+      enter(rank.group);
+    } else if (!this->settings.backfill) {
+      return;
+    } else {
+      this->Hold(group);
+    }
+  }
+}
+
+template <CellFilter Filter>
+void PlacementStep<Filter>::Claim(Group& group,
+                                  const PlacementChoice& choice,
+                                  const std::set<JobId>& excluded,
+                                  Plan& plan) {
+  const Job& job = *this->cluster.FindJob(group.head->job);
+  plan.records.push_back(this->RecordOf(job, choice));
+  Claimed& account = this->claimed[group.key->account];
+  for (const Cell& cell : choice.cells) {
+    account.in_use += cell.count;
+    account.borrowed += choice.borrowed ? cell.count : 0;
+  }
+  ++group.head;
+  this->SkipExcluded(group, excluded);
+}
+
+/// A worker on probation gets one small job that can be repeated elsewhere.
+template <CellFilter Filter>
+void PlacementStep<Filter>::PlaceOnProbation(std::vector<Group>& groups,
+                                             const std::set<JobId>& excluded,
+                                             Plan& plan) {
+  for (const WorkerId& id : this->cluster.WorkersToWatch()) {
+    const WorkerIndex index = *this->cluster.IndexOf(id);
+    const BoardWorker& data = this->finder.Scratch().GetWorker(index);
+    if (!data.probation || !this->cluster.Workers().at(id).jobs.empty()) {
+      continue;
+    }
+    std::optional<Rank> best;
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+      const Group& group = groups[i];
+      const bool suits =
+          group.head != group.end && group.key->demand.members == 1 &&
+          group.key->demand.preemptible &&
+          this->cluster.FindJob(group.head->job)->spec.idempotent() &&
+          CellFor(data, group.key->demand.size) != 0 &&
+          this->WithinQuota(group);
+      if (suits && (!best || this->RankOf(groups, i) < *best)) {
+        best = this->RankOf(groups, i);
+      }
+    }
+    if (best) {
+      Group& group = groups[best->group];
+      PlacementChoice choice;
+      choice.cells = {Cell{index, 0, CellFor(data, group.key->demand.size)}};
+      choice.borrowed = true;
+      this->Claim(group, choice, excluded, plan);
+    }
+  }
+}
+
+template <CellFilter Filter>
+auto PlacementStep<Filter>::Groups() const -> std::vector<Group> {
+  std::vector<Group> groups;
+  groups.reserve(this->cluster.Queue().size());
+  const auto& accounts = this->cluster.CurrentPolicy().accounts;
+  for (const auto& [key, entries] : this->cluster.Queue()) {
+    const auto account = accounts.find(key.account);
+    if (account == accounts.end()) {
+      continue;
+    }
+    Group group;
+    group.key = &key;
+    group.head = entries.begin();
+    group.end = entries.end();
+    group.account = this->cluster.AccountIndexOf(key.account);
+    group.share = account->second.share;
+    group.cell = this->cluster.SmallestCell(key.demand.size);
+    groups.push_back(group);
+  }
+  return groups;
+}
+
+template <CellFilter Filter>
+void PlacementStep<Filter>::SkipExcluded(
+    Group& group,
+    const std::set<JobId>& excluded) const {
+  while (group.head != group.end && excluded.contains(group.head->job)) {
+    ++group.head;
+  }
+}
+
+template <CellFilter Filter>
+auto PlacementStep<Filter>::RankOf(const std::vector<Group>& groups,
+                                   std::size_t index) const -> Rank {
+  const Group& group = groups[index];
+  const Job& job = *this->cluster.FindJob(group.head->job);
+  const bool aged =
+      job.submitted_at.After(this->settings.aging_ms) <= this->now;
+  Rank rank;
+  rank.job_class = static_cast<int>(group.key->job_class);
+  if (aged && group.key->job_class == records::JOB_CLASS_BATCH) {
+    rank.job_class = static_cast<int>(records::JOB_CLASS_NORMAL);
+  }
+  // A job that has waited long is not held back by its account's share.
+  rank.fresh = !aged;
+  if (!aged) {
+    const auto claims = this->claimed.find(group.key->account);
+    const std::uint64_t borrowed =
+        this->cluster.Borrowed(group.key->account) +
+        (claims == this->claimed.end() ? 0 : claims->second.borrowed);
+    rank.share_used = borrowed * 1000 / group.share;
+  }
+  rank.order_ms = group.head->order_ms;
+  rank.submitted_offset = group.head->submitted_offset;
+  rank.group = index;
+  return rank;
+}
+
+/// Accelerators of the account's guarantee that no guaranteed work uses.
+template <CellFilter Filter>
+std::uint32_t PlacementStep<Filter>::GuaranteeLeft(const Group& group) const {
+  const AccountId& account = group.key->account;
+  const auto claims = this->claimed.find(account);
+  std::uint32_t used =
+      this->cluster.InUse(account) - this->cluster.Borrowed(account);
+  if (claims != this->claimed.end()) {
+    used += claims->second.in_use - claims->second.borrowed;
+  }
+  const std::uint32_t guaranteed = this->cluster.Guaranteed(account);
+  return guaranteed > used ? guaranteed - used : 0;
+}
+
+template <CellFilter Filter>
+bool PlacementStep<Filter>::WithinQuota(const Group& group) const {
+  const auto& quota =
+      this->cluster.CurrentPolicy().accounts.at(group.key->account).quota;
+  if (!quota.has_value()) {
+    return true;
+  }
+  const auto claims = this->claimed.find(group.key->account);
+  const std::uint64_t used =
+      this->cluster.InUse(group.key->account) +
+      (claims == this->claimed.end() ? 0 : claims->second.in_use);
+  return used + std::uint64_t{group.cell} * group.key->demand.members <= *quota;
+}
+
+template <CellFilter Filter>
+std::optional<PlacementChoice> PlacementStep<Filter>::TryGroup(
+    const Group& group) {
+  const Job& job = *this->cluster.FindJob(group.head->job);
+  PlacementRequest request;
+  request.demand = group.key->demand;
+  request.account = group.account;
+  request.job_class = group.key->job_class;
+  request.preemptible = group.key->demand.preemptible;
+  request.estimated_end =
+      this->now.After(this->cluster.EstimatedRunMs(job.spec));
+  const bool may_borrow = request.preemptible && this->settings.borrow;
+  // While an earlier job of the account waits for its guarantee, later ones
+  // only borrow, so that the earlier one can take their cells.
+  const bool held = this->settings.hold_guarantee && may_borrow &&
+                    this->held_accounts.contains(group.account);
+  const bool may_claim = !held && group.cell * request.demand.members <=
+                                      this->GuaranteeLeft(group);
+  const bool borrow_first = this->settings.borrow_first && may_borrow;
+  if (borrow_first) {
+    if (auto choice = this->TryMode(request, PlacementMode::kBorrowed)) {
+      return choice;
+    }
+  }
+  if (may_claim) {
+    if (auto choice = this->TryMode(request, PlacementMode::kGuaranteed)) {
+      return choice;
+    }
+  }
+  if (may_borrow && !borrow_first) {
+    if (auto choice = this->TryMode(request, PlacementMode::kBorrowed)) {
+      return choice;
+    }
+  }
+  if (may_claim) {
+    if (auto choice =
+            this->TryMode(request, PlacementMode::kGuaranteedOverVictims)) {
+      return choice;
+    }
+  }
+  if (may_borrow && request.job_class == records::JOB_CLASS_URGENT) {
+    return this->TryMode(request, PlacementMode::kBorrowedOverVictims);
+  }
+  return std::nullopt;
+}
+
+template <CellFilter Filter>
+std::optional<PlacementChoice> PlacementStep<Filter>::TryMode(
+    const PlacementRequest& request,
+    PlacementMode mode) {
+  static const ReservedMasks kNothing;
+  const bool guaranteed = mode == PlacementMode::kGuaranteed ||
+                          mode == PlacementMode::kGuaranteedOverVictims;
+  // Work that ends before the reserved cells are all free does not delay the
+  // gang that they are kept for.
+  const bool avoid = !guaranteed && this->reservation.has_value() &&
+                     request.estimated_end > this->reservation->free_at;
+  const AttemptKey attempt{guaranteed ? request.account : kNoAccount, mode,
+                           avoid, request.demand.adjacency};
+  std::vector<Demand>& known = this->failed[attempt];
+  if (std::any_of(known.begin(), known.end(), [&](const Demand& smaller) {
+        return AtLeast(request.demand, smaller);
+      })) {
+    return std::nullopt;
+  }
+  auto choice = this->finder.Find(request, mode,
+                                  avoid ? this->reservation->masks : kNothing);
+  if (!choice.has_value()) {
+    known.push_back(request.demand);
+  }
+  return choice;
+}
+
+template <CellFilter Filter>
+void PlacementStep<Filter>::Hold(const Group& group) {
+  if (group.cell * group.key->demand.members <=
+      this->cluster.Guaranteed(group.key->account)) {
+    this->held_accounts.insert(group.account);
+  }
+  // Only work that may borrow can use whichever cells become free.
+  if (!this->reservation.has_value() && group.key->demand.preemptible &&
+      this->settings.borrow) {
+    this->reservation =
+        Reserve(this->finder.Scratch(), group.key->demand, this->now);
+  }
+}
+
+template <CellFilter Filter>
+records::Record PlacementStep<Filter>::RecordOf(
+    const Job& job,
+    const PlacementChoice& choice) const {
+  records::Record record;
+  auto& placed = *record.mutable_gang_placed();
+  placed.set_job(job.id.value);
+  placed.set_attempt(job.attempt);
+  placed.set_borrowed(choice.borrowed);
+  for (const Cell& cell : choice.cells) {
+    const Worker& worker =
+        this->cluster.Workers().at(this->cluster.WorkerAt(cell.worker));
+    auto& member = *placed.add_members();
+    member.set_worker(worker.id.value);
+    member.set_incarnation(worker.incarnation);
+    member.set_first_accelerator(cell.first);
+    member.set_accelerators(cell.count);
+  }
+  for (const JobHandle victim : choice.victims) {
+    placed.add_victims(this->cluster.JobAt(victim).value);
+  }
+  return record;
+}
+
+}  // namespace carobrill::scheduling
+
+#endif  // PACKAGES_SCHEDULING_PLACEMENT_STEP_H_
