--- a/packages/scheduling/bench/policies.h
+++ b/packages/scheduling/bench/policies.h
@@ -71,11 +71,19 @@
   }
 };
 
-/// The other order of guaranteed and borrowed placement.
-struct OtherOrder {
-  static constexpr std::string_view kName = "other-order";
+/// Only work that can checkpoint borrows before it uses its guarantee.
+struct CheckpointBorrowsFirst {
+  static constexpr std::string_view kName = "checkpoint-first";
   static void Apply(PlannerSettings& settings) {
-    settings.borrow_first = !settings.borrow_first;
+    settings.borrow_first = BorrowFirst::kCheckpoint;
+  }
+};
+
+/// All work borrows before it uses its guarantee.
+struct BorrowAlwaysFirst {
+  static constexpr std::string_view kName = "borrow-first";
+  static void Apply(PlannerSettings& settings) {
+    settings.borrow_first = BorrowFirst::kAlways;
   }
 };
 
--- a/packages/scheduling/main_carobrill_bench.cc
+++ b/packages/scheduling/main_carobrill_bench.cc
@@ -39,7 +39,9 @@
     RunPolicy<VirtualCells>(deployment, charts, seeds, results);
     RunPolicy<Variant<NoBackfill>>(deployment, charts, seeds, results);
     RunPolicy<Variant<NoHold>>(deployment, charts, seeds, results);
-    RunPolicy<Variant<OtherOrder>>(deployment, charts, seeds, results);
+    RunPolicy<Variant<BorrowAlwaysFirst>>(deployment, charts, seeds, results);
+    RunPolicy<Variant<CheckpointBorrowsFirst>>(deployment, charts, seeds,
+                                               results);
     RunPolicy<FirstComeFirstFit>(deployment, charts, seeds, results);
     PrintTable("deployment " + deployment.name, results);
     json[deployment.name] = ToJson(results);
--- a/packages/scheduling/placement_step.h
+++ b/packages/scheduling/placement_step.h
@@ -43,8 +43,11 @@
     const QueueKey* key = nullptr;
     std::set<QueueEntry>::const_iterator head;
     std::set<QueueEntry>::const_iterator end;
+    /// The job at `head`.
+    const Job* job = nullptr;
     AccountIndex account = kNoAccount;
-    std::uint32_t share = 1;
+    /// Index into `accounts`.
+    std::size_t use = 0;
     std::uint32_t cell = 0;
   };
   /// Position of a group's head in the order; the smallest comes first.
@@ -59,13 +62,16 @@
 
     auto operator<=>(const Rank&) const = default;
   };
-  /// What a plan has claimed for an account so far.
-  struct Claimed {
+  /// Accelerators of an account, with the claims of this plan.
+  struct AccountUse {
     std::uint32_t in_use = 0;
     std::uint32_t borrowed = 0;
+    std::uint32_t guaranteed = 0;
+    std::uint32_t share = 1;
+    std::optional<std::uint32_t> quota;
   };
 
-  std::vector<Group> Groups() const;
+  std::vector<Group> Groups();
   void SkipExcluded(Group& group, const std::set<JobId>& excluded) const;
   Rank RankOf(const std::vector<Group>& groups, std::size_t index) const;
   std::uint32_t GuaranteeLeft(const Group& group) const;
@@ -87,7 +93,7 @@
   const PlannerSettings& settings;
   Instant now;
   PlacementFinder<Filter> finder;
-  std::map<AccountId, Claimed> claimed;
+  std::vector<AccountUse> accounts;
   std::optional<Reservation> reservation;
   /// Account (for guaranteed modes), mode, whether the reservation is avoided,
   /// and adjacency.
@@ -153,9 +159,8 @@
                                   const PlacementChoice& choice,
                                   const std::set<JobId>& excluded,
                                   Plan& plan) {
-  const Job& job = *this->cluster.FindJob(group.head->job);
-  plan.records.push_back(this->RecordOf(job, choice));
-  Claimed& account = this->claimed[group.key->account];
+  plan.records.push_back(this->RecordOf(*group.job, choice));
+  AccountUse& account = this->accounts[group.use];
   for (const Cell& cell : choice.cells) {
     account.in_use += cell.count;
     account.borrowed += choice.borrowed ? cell.count : 0;
@@ -180,8 +185,7 @@
       const Group& group = groups[i];
       const bool suits =
           group.head != group.end && group.key->demand.members == 1 &&
-          group.key->demand.preemptible &&
-          this->cluster.FindJob(group.head->job)->spec.idempotent() &&
+          group.key->demand.preemptible && group.job->spec.idempotent() &&
           CellFor(data, group.key->demand.size) != 0 &&
           this->WithinQuota(group);
       if (suits && (!best || this->RankOf(groups, i) < *best)) {
@@ -199,13 +203,19 @@
 }
 
 template <CellFilter Filter>
-auto PlacementStep<Filter>::Groups() const -> std::vector<Group> {
+auto PlacementStep<Filter>::Groups() -> std::vector<Group> {
+  std::map<AccountId, std::size_t> known;
+  for (const auto& [id, account] : this->cluster.CurrentPolicy().accounts) {
+    known[id] = this->accounts.size();
+    this->accounts.push_back(
+        {this->cluster.InUse(id), this->cluster.Borrowed(id),
+         this->cluster.Guaranteed(id), account.share, account.quota});
+  }
   std::vector<Group> groups;
   groups.reserve(this->cluster.Queue().size());
-  const auto& accounts = this->cluster.CurrentPolicy().accounts;
   for (const auto& [key, entries] : this->cluster.Queue()) {
-    const auto account = accounts.find(key.account);
-    if (account == accounts.end()) {
+    const auto use = known.find(key.account);
+    if (use == known.end()) {
       continue;
     }
     Group group;
@@ -213,7 +223,7 @@
     group.head = entries.begin();
     group.end = entries.end();
     group.account = this->cluster.AccountIndexOf(key.account);
-    group.share = account->second.share;
+    group.use = use->second;
     group.cell = this->cluster.SmallestCell(key.demand.size);
     groups.push_back(group);
   }
@@ -227,15 +237,16 @@
   while (group.head != group.end && excluded.contains(group.head->job)) {
     ++group.head;
   }
+  group.job = group.head == group.end ? nullptr
+                                      : this->cluster.FindJob(group.head->job);
 }
 
 template <CellFilter Filter>
 auto PlacementStep<Filter>::RankOf(const std::vector<Group>& groups,
                                    std::size_t index) const -> Rank {
   const Group& group = groups[index];
-  const Job& job = *this->cluster.FindJob(group.head->job);
   const bool aged =
-      job.submitted_at.After(this->settings.aging_ms) <= this->now;
+      group.job->submitted_at.After(this->settings.aging_ms) <= this->now;
   Rank rank;
   rank.job_class = static_cast<int>(group.key->job_class);
   if (aged && group.key->job_class == records::JOB_CLASS_BATCH) {
@@ -244,11 +255,8 @@
   // A job that has waited long is not held back by its account's share.
   rank.fresh = !aged;
   if (!aged) {
-    const auto claims = this->claimed.find(group.key->account);
-    const std::uint64_t borrowed =
-        this->cluster.Borrowed(group.key->account) +
-        (claims == this->claimed.end() ? 0 : claims->second.borrowed);
-    rank.share_used = borrowed * 1000 / group.share;
+    const AccountUse& use = this->accounts[group.use];
+    rank.share_used = std::uint64_t{use.borrowed} * 1000 / use.share;
   }
   rank.order_ms = group.head->order_ms;
   rank.submitted_offset = group.head->submitted_offset;
@@ -259,42 +267,29 @@
 /// Accelerators of the account's guarantee that no guaranteed work uses.
 template <CellFilter Filter>
 std::uint32_t PlacementStep<Filter>::GuaranteeLeft(const Group& group) const {
-  const AccountId& account = group.key->account;
-  const auto claims = this->claimed.find(account);
-  std::uint32_t used =
-      this->cluster.InUse(account) - this->cluster.Borrowed(account);
-  if (claims != this->claimed.end()) {
-    used += claims->second.in_use - claims->second.borrowed;
-  }
-  const std::uint32_t guaranteed = this->cluster.Guaranteed(account);
-  return guaranteed > used ? guaranteed - used : 0;
+  const AccountUse& use = this->accounts[group.use];
+  const std::uint32_t used = use.in_use - use.borrowed;
+  return use.guaranteed > used ? use.guaranteed - used : 0;
 }
 
 template <CellFilter Filter>
 bool PlacementStep<Filter>::WithinQuota(const Group& group) const {
-  const auto& quota =
-      this->cluster.CurrentPolicy().accounts.at(group.key->account).quota;
-  if (!quota.has_value()) {
-    return true;
-  }
-  const auto claims = this->claimed.find(group.key->account);
-  const std::uint64_t used =
-      this->cluster.InUse(group.key->account) +
-      (claims == this->claimed.end() ? 0 : claims->second.in_use);
-  return used + std::uint64_t{group.cell} * group.key->demand.members <= *quota;
+  const AccountUse& use = this->accounts[group.use];
+  return !use.quota.has_value() ||
+         use.in_use + std::uint64_t{group.cell} * group.key->demand.members <=
+             *use.quota;
 }
 
 template <CellFilter Filter>
 std::optional<PlacementChoice> PlacementStep<Filter>::TryGroup(
     const Group& group) {
-  const Job& job = *this->cluster.FindJob(group.head->job);
   PlacementRequest request;
   request.demand = group.key->demand;
   request.account = group.account;
   request.job_class = group.key->job_class;
   request.preemptible = group.key->demand.preemptible;
   request.estimated_end =
-      this->now.After(this->cluster.EstimatedRunMs(job.spec));
+      this->now.After(this->cluster.EstimatedRunMs(group.job->spec));
   const bool may_borrow = request.preemptible && this->settings.borrow;
   // While an earlier job of the account waits for its guarantee, later ones
   // only borrow, so that the earlier one can take their cells.
@@ -302,7 +297,12 @@
                     this->held_accounts.contains(group.account);
   const bool may_claim = !held && group.cell * request.demand.members <=
                                       this->GuaranteeLeft(group);
-  const bool borrow_first = this->settings.borrow_first && may_borrow;
+  const bool cheap_to_preempt =
+      group.job->spec.preemption() == records::PREEMPTION_CHECKPOINT;
+  const bool borrow_first =
+      may_borrow && (this->settings.borrow_first == BorrowFirst::kAlways ||
+                     (this->settings.borrow_first == BorrowFirst::kCheckpoint &&
+                      cheap_to_preempt));
   if (borrow_first) {
     if (auto choice = this->TryMode(request, PlacementMode::kBorrowed)) {
       return choice;
@@ -360,7 +360,7 @@
 template <CellFilter Filter>
 void PlacementStep<Filter>::Hold(const Group& group) {
   if (group.cell * group.key->demand.members <=
-      this->cluster.Guaranteed(group.key->account)) {
+      this->accounts[group.use].guaranteed) {
     this->held_accounts.insert(group.account);
   }
   // Only work that may borrow can use whichever cells become free.
--- a/packages/scheduling/planner.h
+++ b/packages/scheduling/planner.h
@@ -83,6 +83,17 @@
   std::vector<TaskAction> actions;
 };
 
+/// Work that borrows free cells before it uses its account's guarantee.
+enum class BorrowFirst { kNever, kCheckpoint, kAlways };
+
+constexpr auto NamesOf(BorrowFirst) {
+  return MakeNameTable<BorrowFirst>({
+      {BorrowFirst::kNever, "never"},
+      {BorrowFirst::kCheckpoint, "checkpoint"},
+      {BorrowFirst::kAlways, "always"},
+  });
+}
+
 /// Policy choices of the planner; times in milliseconds of log time.
 struct PlannerSettings {
   std::uint32_t max_placements = 64;
@@ -103,8 +114,10 @@
   bool backfill = true;
   /// Work may run outside its account's guarantee.
   bool borrow = true;
-  /// Free cells are borrowed before the guarantee is used.
-  bool borrow_first = false;
+  /// Which work borrows free cells before it uses its account's guarantee.
+  /// kNever serves short work better (deployment A), kAlways large gangs and
+  /// fragmentation (deployment B).
+  BorrowFirst borrow_first = BorrowFirst::kNever;
   /// Jobs behind one that waits for its account's guarantee only borrow.
   bool hold_guarantee = true;
 
--- a/tests/scheduling/board_test.cc
+++ b/tests/scheduling/board_test.cc
@@ -100,6 +100,23 @@
   CHECK(infeasible > 10);
 }
 
+TEST_CASE("a listed victim that may not be taken keeps its cell") {
+  Board board;
+  const WorkerIndex worker = board.AddWorker({4, 0, 0, 0, 0, true, false});
+  const AccountIndex account = board.AddAccount();
+  Holder holder;
+  holder.account = account;
+  holder.borrowed = true;
+  const JobHandle first = board.AddHolder(holder);
+  const JobHandle second = board.AddHolder(holder);
+  const Cell cells[] = {{worker, 0, 4}};
+  const JobHandle victims[] = {first};
+  CHECK(board.Place(first, cells, {}) == records::Verdict::kAccepted);
+  CHECK(board.Place(second, cells, victims) == records::Verdict::kCellTaken);
+  board.SetStopping(first, cells);
+  CHECK(board.Place(second, cells, victims) == records::Verdict::kAccepted);
+}
+
 TEST_CASE("a cell carries its part of the worker's cores and memory") {
   const BoardWorker worker{8, 32'000, 64'000, 0, 0};
   CHECK(CellFor(worker, {1, 4'000, 8'000}) == 1);
--- a/tests/scheduling/cluster_test.cc
+++ b/tests/scheduling/cluster_test.cc
@@ -78,6 +78,11 @@
   world.now = world.now.After(1);
   CHECK(world.Apply(repeat) == Verdict::kAccepted);
   CHECK(world.cluster.FindJob(JobId("j")) == nullptr);
+  // A log whose clock went back does not bring deadlines back.
+  const Instant latest = world.now;
+  world.now = world.now.After(-5'000);
+  world.Apply(Cancelled("k"));
+  CHECK(world.cluster.LogTime() == latest);
 }
 
 TEST_CASE("a guarantee beyond the hardware is refused") {
@@ -111,6 +116,43 @@
         Verdict::kCellTaken);
 }
 
+TEST_CASE("guaranteed work may not split the cells another account needs") {
+  World world(2);
+  world.cluster.SetPolicy(TwoAccounts({{2, 2, false}}, {kFour}), world.now);
+  const auto two = Spec("a", 1, 2);
+  CHECK(world.Run("j", two, {On("w0", 0, 2)}, false) == Verdict::kAccepted);
+  CHECK(world.Run("k", two, {On("w1", 0, 2)}, false) ==
+        Verdict::kBreaksGuarantee);
+  CHECK(world.Run("k", two, {On("w0", 2, 2)}, false) == Verdict::kAccepted);
+}
+
+TEST_CASE("a worker that joins a bound rack is not part of the bound cell") {
+  World world;
+  world.cluster.SetPolicy(TwoAccounts({kRack}, {kFour}), world.now);
+  CHECK(world.Run("j", Spec("a", 1, 1), {On("w0", 0, 1)}, false) ==
+        Verdict::kAccepted);
+  CHECK(world.Apply(Registered("w9", 1, "r0")) == Verdict::kAccepted);
+  CHECK(world.Run("k", Spec("b", 1, 4), {On("w9", 0, 4)}, false) ==
+        Verdict::kAccepted);
+  CHECK(world.Apply(Ended("j", 1, records::GANG_OUTCOME_SUCCEEDED)) ==
+        Verdict::kAccepted);
+  const auto& board = world.cluster.GetBoard();
+  CHECK(board.Unbound().Get(*world.cluster.IndexOf(WorkerId("w9"))) == 0);
+  CHECK(board.Unbound().Get(*world.cluster.IndexOf(WorkerId("w0"))) == 15);
+}
+
+TEST_CASE("a rack with work of another account is not promised to one") {
+  World world;
+  world.cluster.SetPolicy(TwoAccounts({kTwo}, {kTwo}), world.now);
+  CHECK(world.Run("j", Never(Spec("a", 1, 1)), {On("w0", 0, 1)}, false) ==
+        Verdict::kAccepted);
+  CHECK(world.Run("k", Never(Spec("b", 1, 1)), {On("w0", 2, 1)}, false) ==
+        Verdict::kAccepted);
+  world.cluster.SetPolicy(TwoAccounts({kRack}, {kRack}), world.now);
+  CHECK(world.cluster.Accounts()[0].at_risk == 8);
+  CHECK(world.cluster.Accounts()[1].at_risk == 8);
+}
+
 TEST_CASE("an unused part of a split shape cell stays with its account") {
   // Without this, b could fill both workers half and a's cell of 4 would be
   // lost once a's small job ends.
@@ -152,6 +194,28 @@
   CHECK(world.Get("v").attempt == 2);
 }
 
+TEST_CASE("a claim over a claim waits for the job that still runs") {
+  World world(1);
+  world.cluster.SetPolicy(TwoAccounts({kFour}, {}), world.now);
+  world.Run("v", Spec("b", 1, 4), {On("w0", 0, 4)}, true);
+  records::JobSpec urgent = Spec("b", 1, 4);
+  urgent.set_job_class(records::JOB_CLASS_URGENT);
+  world.Apply(Submitted("u", urgent));
+  world.Apply(Submitted("j", Spec("a", 1, 4)));
+  const std::vector<records::Member> all = {On("w0", 0, 4)};
+  CHECK(world.Apply(Placed("u", 1, all, true, {"v"})) == Verdict::kAccepted);
+  CHECK(world.Apply(Placed("j", 1, all, false, {"u"})) == Verdict::kCellTaken);
+  CHECK(world.Apply(Placed("j", 1, all, false, {"u", "v"})) ==
+        Verdict::kAccepted);
+  CHECK(world.Get("u").state == JobState::kQueued);
+  CHECK(world.Apply(Committed("j", 1)) == Verdict::kVictimsRemain);
+  world.now = world.now.After(60'000);
+  CHECK(world.Apply(Ended("v", 1, records::GANG_OUTCOME_STOPPED)) ==
+        Verdict::kAccepted);
+  // The time to prepare runs from here.
+  CHECK(world.Get("j").since == world.now);
+}
+
 TEST_CASE("a victim that is guaranteed, unrelated or not preemptible is kept") {
   World world(2);
   world.cluster.SetPolicy(TwoAccounts({kFour}, {kTwo}), world.now);
@@ -273,6 +337,8 @@
   world.Apply(Submitted("p", Spec("b", 1, 1)));
   CHECK(world.Apply(Placed("p", 1, {On("w1", 0, 1)}, false)) ==
         Verdict::kAccepted);
+  CHECK(world.Apply(StateChanged("w0", 0, records::WORKER_STATE_LOST)) ==
+        Verdict::kStaleIncarnation);
   CHECK(world.Apply(StateChanged("w0", 1, records::WORKER_STATE_LOST)) ==
         Verdict::kAccepted);
   CHECK(world.Get("j").state == JobState::kStopping);
--- a/tests/scheduling/holds_test.cc
+++ b/tests/scheduling/holds_test.cc
@@ -189,6 +189,11 @@
         {{2, 2, false}, {2, 1, false}},
         {}};
     Policy policy = TwoAccounts(kShapes[seed % 3], kShapes[seed / 4 % 4]);
+    if (seed % 8 < 4) {
+      // No accelerator to spare, so that a single bad placement shows.
+      policy = TwoAccounts({{2, 4, false}, {1, 2, false}},
+                           {{1, 4, false}, {2, 1, false}});
+    }
     policy.accounts[AccountId("a")].quota = 12;
     policy.accounts[AccountId("b")].share = 3;
     if (seed % 16 == 15) {
@@ -297,17 +302,21 @@
                                ? 1
                                : worker->second.incarnation));
     }
-    std::vector<std::string> victims;
-    if (c % 3 != 0) {
-      for (const auto& [id, other] : this->cluster.Jobs()) {
-        if (HoldsCells(other.state) && (c % 3 == 1 || other.borrowed)) {
-          victims.push_back(id.value);
-          if (victims.size() > b % 3U) {
-            break;
-          }
-        }
+    std::set<std::string> in_the_way;
+    for (const auto& member : members) {
+      const auto index = this->cluster.IndexOf(WorkerId(member.worker()));
+      for (std::uint32_t at = 0; index && at < member.accelerators(); ++at) {
+        const Slot& slot = this->cluster.GetBoard().GetSlot(
+            *index, (member.first_accelerator() + at) % 4);
+        in_the_way.insert(this->cluster.JobAt(slot.holder).value);
+        in_the_way.insert(this->cluster.JobAt(slot.ending).value);
       }
     }
+    in_the_way.erase("");
+    std::vector<std::string> victims(in_the_way.begin(), in_the_way.end());
+    if (c % 3 == 0 && !victims.empty()) {
+      victims.pop_back();
+    }
     this->Apply(
         Placed(job->id.value, job->attempt, members, b % 3 != 0, victims));
   }
