Test at-most-once requests with killed processes

Cause: the claim before the send, the fence and the settled outcome were only tested within one process. A caller repeats a key when its entry dies, when the log loses the responses to appends, or when the agent dies.

The new class Deployment starts the fakes, entries and agents on loopback and gives access to their APIs and counts. It picks ports below the usual range of outgoing connections, so that a restarted entry finds its port free.

The count is taken at the fake endpoints.

Not ruled out: a claim whose entry is paused rather than killed.

--- /dev/null
+++ b/tests/process/deployment.cc
@@ -0,0 +1,408 @@
+#include "tests/process/deployment.h"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace carobrill::process {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t kStartLimitMs = 10'000;
+constexpr std::int64_t kCallLimitMs = 5'000;
+constexpr int kStartAttempts = 3;
+// Below the usual range of ports of outgoing connections, so that no connection
+// takes the port of a process that is being restarted.
+constexpr std::uint32_t kFirstPort = 20'000;
+constexpr std::uint32_t kPorts = 12'000;
+
+bool IsFree(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool free =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(fd);
+  return free;
+}
+
+// Starts at a place of this process, so that test programs that run at the same
+// time rarely try the same ports.
+std::uint16_t FreePort() {
+  static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * 101;
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+}
+
+std::string Binary(const std::string& name) {
+  return std::string(CAROBRILL_BINARY_DIRECTORY) + "/" + name;
+}
+
+std::string Url(std::uint16_t port) {
+  return "http://127.0.0.1:" + std::to_string(port);
+}
+
+Json Address(std::uint16_t port) {
+  return {{"address", "127.0.0.1"}, {"port", port}};
+}
+
+Json InstanceSettings(const std::string& id) {
+  return {{"id", id},
+          {"region", "south"},
+          {"failure_domain", "fd-1"},
+          {"charts_directory",
+           std::string(CAROBRILL_SOURCE_DIRECTORY) + "/charts"}};
+}
+
+Json ParsedBody(const platform::HttpReply& reply) {
+  Json body = Json::parse(reply.body, nullptr, false);
+  return body.is_discarded() ? Json() : body;
+}
+
+std::size_t CountState(const Json& list, const std::string& state) {
+  std::size_t count = 0;
+  for (const auto& item : list) {
+    count += item.value("state", "") == state ? 1 : 0;
+  }
+  return count;
+}
+
+// Lists come as {"name": [..]} with an optional cursor.
+Json ListOf(const Json& body, const std::string& name) {
+  return body.is_object() ? body.value(name, Json::array()) : Json::array();
+}
+
+}  // namespace
+
+std::string RequestOutcome::Ran() const {
+  return this->body.is_object() ? this->body.value("ran", "") : "";
+}
+
+bool WaitUntil(const std::function<bool()>& condition, std::int64_t limit_ms) {
+  const Instant limit = BootClock{}.Now().After(limit_ms);
+  while (!condition()) {
+    if (BootClock{}.Now() >= limit) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+Deployment::Deployment(DeploymentPlan plan) : plan(plan) {
+  bool started = false;
+  for (int i = 0; i < kStartAttempts && !started; ++i) {
+    started = this->Start();
+  }
+  REQUIRE(started);
+}
+
+// A port may be taken between the choice and the listening; then everything
+// starts again with other ports, since the settings name each other's ports.
+bool Deployment::Start() {
+  const auto make = [](int count) {
+    std::vector<Part> parts(static_cast<std::size_t>(count));
+    for (auto& part : parts) {
+      part.port = FreePort();
+      part.rpc_port = FreePort();
+    }
+    return parts;
+  };
+  this->entries = make(this->plan.entries);
+  this->endpoints = make(this->plan.endpoints);
+  this->endpoint_agents = make(this->plan.endpoints);
+  this->workers = make(this->plan.workers);
+  this->worker_agents = make(this->plan.workers);
+  this->log = Part{};
+  this->log.port = FreePort();
+  if (!this->StartFakes()) {
+    return false;
+  }
+  for (int i = 0; i < this->plan.entries; ++i) {
+    Part& part = this->entries[i];
+    part.settings_path = this->directory.Write(
+        "entry-" + std::to_string(i) + ".json", this->EntrySettings(i));
+    this->StartDaemon(part);
+  }
+  for (int i = 0; i < this->plan.endpoints; ++i) {
+    const auto n = std::to_string(i);
+    Part& part = this->endpoint_agents[i];
+    part.settings_path = this->directory.Write(
+        "agent-e" + n + ".json",
+        this->AgentSettings(
+            "agent-e" + n, part,
+            {{"endpoint",
+              {{"id", "e" + n},
+               {"service", "calibration"},
+               {"partner", "p" + n},
+               {"url", Url(this->endpoints[i].port)}}}}));
+    this->StartDaemon(part);
+  }
+  for (int i = 0; i < this->plan.workers; ++i) {
+    const auto n = std::to_string(i);
+    Part& part = this->worker_agents[i];
+    part.settings_path = this->directory.Write(
+        "agent-w" + n + ".json",
+        this->AgentSettings("agent-w" + n, part,
+                            {{"worker",
+                              {{"id", "w" + n},
+                               {"rack", "rack-1"},
+                               {"url", Url(this->workers[i].port)}}}}));
+    this->StartDaemon(part);
+  }
+  return this->BecomesReady();
+}
+
+bool Deployment::StartFakes() {
+  const auto start = [](Part& part, const std::string& name,
+                        std::vector<std::string> more) {
+    more.insert(more.end(), {"--listen", "127.0.0.1", "--port",
+                             std::to_string(part.port)});
+    auto process = Process::Start(Binary(name), std::move(more));
+    if (!process.has_value()) {
+      return false;
+    }
+    part.process = std::move(process.value());
+    return part.process->WaitForPort(kStartLimitMs).has_value();
+  };
+  bool all = start(this->log, "carobrill_fake_log", {});
+  for (auto& part : this->endpoints) {
+    all = all && start(part, "carobrill_fake_endpoint", {});
+  }
+  for (int i = 0; i < this->plan.workers; ++i) {
+    all = all && start(this->workers[i], "carobrill_fake_worker",
+                       {"--worker", "w" + std::to_string(i)});
+  }
+  return all;
+}
+
+bool Deployment::StartDaemon(Part& part) {
+  part.process.reset();
+  auto process = Process::Start(Binary("carobrilld"),
+                                {"--settings", part.settings_path});
+  if (process.has_value()) {
+    part.process = std::move(process.value());
+  }
+  return part.process != nullptr;
+}
+
+std::string Deployment::EntrySettings(int number) const {
+  const Part& part = this->entries.at(number);
+  Json instance = InstanceSettings("entry-" + std::to_string(number));
+  instance["rpc"] = Address(part.rpc_port);
+  instance["http"] = Address(part.port);
+  Json peers = Json::array();
+  for (int i = 0; i < this->plan.entries; ++i) {
+    if (i != number) {
+      peers.push_back("127.0.0.1:" + std::to_string(this->entries[i].rpc_port));
+    }
+  }
+  const Json settings = {
+      {"role", "entry"},
+      {"instance", instance},
+      {"entry",
+       {{"peers", peers}, {"log_service", {{"url", Url(this->log.port)}}}}}};
+  return settings.dump();
+}
+
+std::string Deployment::AgentSettings(const std::string& id,
+                                      const Part& part,
+                                      const Json& fronted) const {
+  Json instance = InstanceSettings(id);
+  instance["rpc"] = Address(part.rpc_port);
+  Json agent = fronted;
+  agent["entries"] = Json::array();
+  for (const auto& entry : this->entries) {
+    agent["entries"].push_back("127.0.0.1:" + std::to_string(entry.rpc_port));
+  }
+  const Json settings = {
+      {"role", "agent"}, {"instance", instance}, {"agent", agent}};
+  return settings.dump();
+}
+
+bool Deployment::BecomesReady() {
+  const auto entries_serve = [this] {
+    for (int i = 0; i < this->plan.entries; ++i) {
+      if (!this->Call(i, "GET", "/readyz").get().Ok()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  const auto all_known = [this] {
+    for (int i = 0; i < this->plan.entries; ++i) {
+      const Json rules = this->Get(i, "/v1/rules");
+      const auto endpoints = ListOf(this->Get(i, "/v1/endpoints"), "endpoints");
+      const auto workers = ListOf(this->Get(i, "/v1/workers"), "workers");
+      if (!rules.is_object() || rules.value("version", 0) < 1 ||
+          CountState(endpoints, "serving") < this->endpoints.size() ||
+          CountState(workers, "ready") < this->workers.size()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  return WaitUntil(entries_serve, kStartLimitMs) &&
+         this->Publish(0, 0, "A. Mensah", Rules()).get().Ok() &&
+         WaitUntil(all_known, kStartLimitMs);
+}
+
+void Deployment::RestartEntry(int number) {
+  REQUIRE(this->StartDaemon(this->entries.at(number)));
+  CHECK(WaitUntil(
+      [&] { return this->Call(number, "GET", "/healthz").get().Ok(); },
+      kStartLimitMs));
+}
+
+std::future<platform::HttpReply> Deployment::Call(int entry,
+                                                  const std::string& method,
+                                                  const std::string& path,
+                                                  const std::string& body,
+                                                  const std::string& key,
+                                                  std::int64_t limit_ms) {
+  platform::HttpCall call;
+  call.method = method;
+  call.url = Url(this->entries.at(entry).port) + path;
+  call.body = body;
+  call.deadline = BootClock{}.Now().After(limit_ms);
+  if (!key.empty()) {
+    call.headers["Idempotency-Key"] = key;
+  }
+  auto promise = std::make_shared<std::promise<platform::HttpReply>>();
+  this->client.Send(std::move(call), [promise](platform::HttpReply reply) {
+    promise->set_value(std::move(reply));
+  });
+  return promise->get_future();
+}
+
+std::future<RequestOutcome> Deployment::Request(int entry,
+                                                const RequestPlan& plan) {
+  const Json body = {{"account", "setters"},
+                     {"class", "urgent"},
+                     {"idempotent", plan.key.empty()},
+                     {"deadline_ms", plan.deadline_ms},
+                     {"kind", "check"},
+                     {"expected_run_ms", plan.run_ms},
+                     {"payload", plan.payload}};
+  auto reply = this->Call(entry, "POST", "/v1/services/calibration/requests",
+                          body.dump(), plan.key, plan.deadline_ms + 5'000);
+  return std::async(std::launch::deferred, [reply = std::move(reply)]() mutable {
+    const auto got = reply.get();
+    return RequestOutcome{got.failure == platform::HttpFailure::kNone,
+                          got.status, ParsedBody(got)};
+  });
+}
+
+nlohmann::json Deployment::Get(int entry, const std::string& path) {
+  const auto reply = this->Call(entry, "GET", path).get();
+  return reply.Ok() ? ParsedBody(reply) : Json();
+}
+
+std::string Deployment::SubmitGang(int entry, int members, std::int64_t run_ms,
+                                   bool idempotent) {
+  const Json body = {{"account", "setters"},   {"class", "urgent"},
+                     {"kind", "fit"},          {"members", members},
+                     {"accelerators", 8},      {"cores", 4},
+                     {"memory_mb", 1024},      {"adjacent", "rack"},
+                     {"expected_run_ms", run_ms}, {"idempotent", idempotent},
+                     {"preemption", "stop"},   {"payload", "gang"}};
+  static int submitted = 0;
+  const auto reply = this->Call(entry, "POST", "/v1/jobs", body.dump(),
+                                "gang-" + std::to_string(++submitted))
+                         .get();
+  CAPTURE(reply.body);
+  REQUIRE(reply.Ok());
+  return ParsedBody(reply).at("job").get<std::string>();
+}
+
+std::string Deployment::JobState(int entry, const std::string& job) {
+  const Json body = this->Get(entry, "/v1/jobs/" + job);
+  return body.is_object() ? body.value("state", "") : "";
+}
+
+platform::HttpReply Deployment::Send(const std::string& method,
+                                     std::uint16_t port,
+                                     const std::string& path,
+                                     const std::string& body) {
+  platform::HttpCall call;
+  call.method = method;
+  call.url = Url(port) + path;
+  call.body = body;
+  call.deadline = BootClock{}.Now().After(kCallLimitMs);
+  return this->client.SendAndWait(call);
+}
+
+void Deployment::ControlLog(const Json& body) {
+  CHECK(this->Send("POST", this->log.port, "/control", body.dump()).Ok());
+}
+
+void Deployment::ControlEndpoint(int number, const Json& body) {
+  CHECK(this->Send("POST", this->endpoints.at(number).port, "/control",
+                   body.dump())
+            .Ok());
+}
+
+nlohmann::json Deployment::EndpointStats(int number) {
+  const auto reply =
+      this->Send("GET", this->endpoints.at(number).port, "/stats", "");
+  REQUIRE(reply.Ok());
+  return ParsedBody(reply);
+}
+
+nlohmann::json Deployment::WorkerStats(int number) {
+  const auto reply =
+      this->Send("GET", this->workers.at(number).port, "/stats", "");
+  REQUIRE(reply.Ok());
+  return ParsedBody(reply);
+}
+
+std::int64_t Deployment::Runs(const std::string& payload) {
+  std::int64_t runs = 0;
+  for (int i = 0; i < this->plan.endpoints; ++i) {
+    runs += this->EndpointStats(i)["runs"].value(payload, std::int64_t{0});
+  }
+  return runs;
+}
+
+std::int64_t Deployment::RunsAt(int endpoint) {
+  std::int64_t runs = 0;
+  for (const auto& [payload, count] :
+       this->EndpointStats(endpoint)["runs"].items()) {
+    runs += count.get<std::int64_t>();
+  }
+  return runs;
+}
+
+std::string Deployment::Rules() {
+  return "account setters guarantee=1x8@worker quota=32 share=3"
+         "   # asked by: A. Mensah\n"
+         "hardware racks=1 workers_per_rack=3 accelerators=8"
+         "   # asked by: K. Boateng\n"
+         "service calibration partner=p0 short_ms=500 short_slots=2"
+         "   # asked by: A. Mensah\n";
+}
+
+std::future<platform::HttpReply> Deployment::Publish(int entry,
+                                                     int base_version,
+                                                     const std::string& author,
+                                                     const std::string& text) {
+  const Json body = {
+      {"base_version", base_version}, {"author", author}, {"text", text}};
+  return this->Call(entry, "POST", "/v1/rules", body.dump());
+}
+
+}  // namespace carobrill::process
