--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -40,8 +40,7 @@
 std::uint16_t FreePort() {
   static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * 101;
   while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
     if (IsFree(port)) {
       return port;
     }
@@ -143,13 +142,12 @@
     Part& part = this->endpoint_agents[i];
     part.settings_path = this->directory.Write(
         "agent-e" + n + ".json",
-        this->AgentSettings(
-            "agent-e" + n, part,
-            {{"endpoint",
-              {{"id", "e" + n},
-               {"service", "calibration"},
-               {"partner", "p" + n},
-               {"url", Url(this->endpoints[i].port)}}}}));
+        this->AgentSettings("agent-e" + n, part,
+                            {{"endpoint",
+                              {{"id", "e" + n},
+                               {"service", "calibration"},
+                               {"partner", "p" + n},
+                               {"url", Url(this->endpoints[i].port)}}}}));
     this->StartDaemon(part);
   }
   for (int i = 0; i < this->plan.workers; ++i) {
@@ -170,8 +168,8 @@
 bool Deployment::StartFakes() {
   const auto start = [](Part& part, const std::string& name,
                         std::vector<std::string> more) {
-    more.insert(more.end(), {"--listen", "127.0.0.1", "--port",
-                             std::to_string(part.port)});
+    more.insert(more.end(),
+                {"--listen", "127.0.0.1", "--port", std::to_string(part.port)});
     auto process = Process::Start(Binary(name), std::move(more));
     if (!process.has_value()) {
       return false;
@@ -192,8 +190,8 @@
 
 bool Deployment::StartDaemon(Part& part) {
   part.process.reset();
-  auto process = Process::Start(Binary("carobrilld"),
-                                {"--settings", part.settings_path});
+  auto process =
+      Process::Start(Binary("carobrilld"), {"--settings", part.settings_path});
   if (process.has_value()) {
     part.process = std::move(process.value());
   }
@@ -300,11 +298,12 @@
                      {"payload", plan.payload}};
   auto reply = this->Call(entry, "POST", "/v1/services/calibration/requests",
                           body.dump(), plan.key, plan.deadline_ms + 5'000);
-  return std::async(std::launch::deferred, [reply = std::move(reply)]() mutable {
-    const auto got = reply.get();
-    return RequestOutcome{got.failure == platform::HttpFailure::kNone,
-                          got.status, ParsedBody(got)};
-  });
+  return std::async(
+      std::launch::deferred, [reply = std::move(reply)]() mutable {
+        const auto got = reply.get();
+        return RequestOutcome{got.failure == platform::HttpFailure::kNone,
+                              got.status, ParsedBody(got)};
+      });
 }
 
 nlohmann::json Deployment::Get(int entry, const std::string& path) {
@@ -312,14 +311,22 @@
   return reply.Ok() ? ParsedBody(reply) : Json();
 }
 
-std::string Deployment::SubmitGang(int entry, int members, std::int64_t run_ms,
+std::string Deployment::SubmitGang(int entry,
+                                   int members,
+                                   std::int64_t run_ms,
                                    bool idempotent) {
-  const Json body = {{"account", "setters"},   {"class", "urgent"},
-                     {"kind", "fit"},          {"members", members},
-                     {"accelerators", 8},      {"cores", 4},
-                     {"memory_mb", 1024},      {"adjacent", "rack"},
-                     {"expected_run_ms", run_ms}, {"idempotent", idempotent},
-                     {"preemption", "stop"},   {"payload", "gang"}};
+  const Json body = {{"account", "setters"},
+                     {"class", "urgent"},
+                     {"kind", "fit"},
+                     {"members", members},
+                     {"accelerators", 8},
+                     {"cores", 4},
+                     {"memory_mb", 1024},
+                     {"adjacent", "rack"},
+                     {"expected_run_ms", run_ms},
+                     {"idempotent", idempotent},
+                     {"preemption", "stop"},
+                     {"payload", "gang"}};
   static int submitted = 0;
   const auto reply = this->Call(entry, "POST", "/v1/jobs", body.dump(),
                                 "gang-" + std::to_string(++submitted))
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -77,7 +77,9 @@
   nlohmann::json Get(int entry, const std::string& path);
 
   /// Submits a gang of whole workers; returns the job's id.
-  std::string SubmitGang(int entry, int members, std::int64_t run_ms,
+  std::string SubmitGang(int entry,
+                         int members,
+                         std::int64_t run_ms,
                          bool idempotent);
 
   /// State of a job at an entry; empty if it has no answer.
@@ -101,7 +103,8 @@
   static std::string Rules();
 
   /// Publishes a rule file through an entry.
-  std::future<platform::HttpReply> Publish(int entry, int base_version,
+  std::future<platform::HttpReply> Publish(int entry,
+                                           int base_version,
                                            const std::string& author,
                                            const std::string& text);
 
@@ -119,11 +122,14 @@
   bool StartFakes();
   bool StartDaemon(Part& part);
   std::string EntrySettings(int number) const;
-  std::string AgentSettings(const std::string& id, const Part& part,
+  std::string AgentSettings(const std::string& id,
+                            const Part& part,
                             const nlohmann::json& fronted) const;
   bool BecomesReady();
-  platform::HttpReply Send(const std::string& method, std::uint16_t port,
-                           const std::string& path, const std::string& body);
+  platform::HttpReply Send(const std::string& method,
+                           std::uint16_t port,
+                           const std::string& path,
+                           const std::string& body);
 
   DeploymentPlan plan;
   TemporaryDirectory directory;
