--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -103,6 +103,8 @@
 TEST_CASE("holds.leaving: a frozen agent resumes") {
   // Guards against an agent that, after a pause longer than its lease, sends
   // requests that their callers have given up or had answered elsewhere.
+  // The deadlines of the entries' calls end most of them too, so this case does
+  // not show the lease check alone; the tests of the admission do.
   Deployment deployment({});
   SteadyLoad load(deployment, 1'500);
   load.RunFor(500);
