--- a/packages/daemon/entry_role.cc
+++ b/packages/daemon/entry_role.cc
@@ -48,7 +48,7 @@
     BOOST_LEAF_AUTO(recovery, ledger::Recovery::Load(
                                   this->settings.instance.charts_directory));
     BOOST_LEAF_CHECK(this->ListenRpc());
-    this->MakeCore(std::move(empty), std::move(recovery));
+    this->MakeCore(std::move(empty), recovery);
     BOOST_LEAF_CHECK(this->ListenHttp());
     this->core_task.Run([this] { this->core->Start(); });
     return {};
@@ -112,9 +112,8 @@
     this->id_prefix =
         this->settings.instance.id + "-" + std::to_string(identity.incarnation);
     this->core_task.Run([&] {
-      this->core = std::make_unique<EntryCore>(identity, std::move(empty),
-                                               std::move(recovery),
-                                               this->core_task, this->metrics);
+      this->core = std::make_unique<EntryCore>(
+          identity, std::move(empty), recovery, this->core_task, this->metrics);
       this->handlers = this->core->Handlers();
     });
   }
--- a/packages/daemon/fold.cc
+++ b/packages/daemon/fold.cc
@@ -37,7 +37,7 @@
 Result<Fold> Fold::Create(const std::string& charts_directory) {
   BOOST_LEAF_AUTO(charts, scheduling::Charts::Load(charts_directory));
   BOOST_LEAF_AUTO(claims, requests::ClaimTable::Create(charts_directory));
-  return Fold(scheduling::Cluster(std::move(charts)), std::move(claims));
+  return Fold(scheduling::Cluster(charts), std::move(claims));
 }
 
 Verdict Fold::Apply(const records::Record& record,
--- a/packages/scheduling/bench/simulation.h
+++ b/packages/scheduling/bench/simulation.h
@@ -2,6 +2,7 @@
 #define PACKAGES_SCHEDULING_BENCH_SIMULATION_H_
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <queue>
@@ -26,7 +27,7 @@
   }
   std::sort(values.begin(), values.end());
   const double at = q * static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(at + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(at))];
 }
 
 /// The core under a load with a virtual clock: gangs are prepared, started and
--- a/packages/scheduling/cluster.cc
+++ b/packages/scheduling/cluster.cc
@@ -80,7 +80,7 @@
 }
 
 Cluster::Cluster(Charts state_charts, ClusterSettings cluster_settings)
-    : charts(std::move(state_charts)), settings(cluster_settings) {
+    : charts(state_charts), settings(cluster_settings) {
   assert(this->settings.Valid());
   this->retry_milli = this->settings.retry_burst * 1000;
   this->handle_jobs.emplace_back();
--- a/packages/scheduling/cluster_policy.cc
+++ b/packages/scheduling/cluster_policy.cc
@@ -223,9 +223,9 @@
 }
 
 const SinceIndex& Cluster::InState(JobState state) const {
-  static const SinceIndex kEmpty;
+  static const SinceIndex empty;
   const auto found = this->in_state.find(state);
-  return found == this->in_state.end() ? kEmpty : found->second;
+  return found == this->in_state.end() ? empty : found->second;
 }
 
 std::uint32_t Cluster::InUse(const AccountId& account) const {
--- a/packages/scheduling/placement_step.h
+++ b/packages/scheduling/placement_step.h
@@ -334,7 +334,7 @@
 std::optional<PlacementChoice> PlacementStep<Filter>::TryMode(
     const PlacementRequest& request,
     PlacementMode mode) {
-  static const ReservedMasks kNothing;
+  static const ReservedMasks nothing;
   const bool guaranteed = mode == PlacementMode::kGuaranteed ||
                           mode == PlacementMode::kGuaranteedOverVictims;
   // Work that ends before the reserved cells are all free does not delay the
@@ -350,7 +350,7 @@
     return std::nullopt;
   }
   auto choice = this->finder.Find(request, mode,
-                                  avoid ? this->reservation->masks : kNothing);
+                                  avoid ? this->reservation->masks : nothing);
   if (!choice.has_value()) {
     known.push_back(request.demand);
   }
--- a/tests/process/gangs_test.cc
+++ b/tests/process/gangs_test.cc
@@ -37,7 +37,7 @@
 }
 
 std::string StartGang(Deployment& deployment, bool idempotent) {
-  const auto job = deployment.SubmitGang(0, 2, kLongRunMs, idempotent);
+  auto job = deployment.SubmitGang(0, 2, kLongRunMs, idempotent);
   REQUIRE(WaitUntil([&] { return AllRun(deployment); }, kStartLimitMs));
   REQUIRE(WaitUntil([&] { return deployment.JobState(1, job) == "running"; },
                     kStartLimitMs));
--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -56,6 +56,7 @@
   Deployment deployment({});
   // A long request at each endpoint keeps a leaving agent from ending at once.
   std::vector<std::future<RequestOutcome>> held;
+  held.reserve(2);
   for (int i = 0; i < 2; ++i) {
     held.push_back(deployment.Request(
         0, {"held " + std::to_string(i), "", 6'000, 10'000}));
--- a/tests/scheduling/holds_test.cc
+++ b/tests/scheduling/holds_test.cc
@@ -183,12 +183,12 @@
   }
 
   void SetPolicy(std::uint8_t seed) {
-    static const std::vector<GuaranteedCells> kShapes[] = {
+    static const std::vector<GuaranteedCells> shapes[] = {
         {{1, 4, false}, {1, 2, false}},
         {{1, 0, true}},
         {{2, 2, false}, {2, 1, false}},
         {}};
-    Policy policy = TwoAccounts(kShapes[seed % 3], kShapes[seed / 4 % 4]);
+    Policy policy = TwoAccounts(shapes[seed % 3], shapes[seed / 4 % 4]);
     if (seed % 8 < 4) {
       // No accelerator to spare, so that a single bad placement shows.
       policy = TwoAccounts({{2, 4, false}, {1, 2, false}},
--- a/tests/scheduling/planner_test.cc
+++ b/tests/scheduling/planner_test.cc
@@ -62,7 +62,7 @@
   submit("urgent", records::JOB_CLASS_URGENT);
   const auto next = [&] {
     Step(world);
-    for (const std::string job : {"batch", "normal", "urgent"}) {
+    for (std::string job : {"batch", "normal", "urgent"}) {
       if (world.Get(job).state == JobState::kPlaced) {
         world.Apply(Cancelled(job));
         return job;
