--- a/tests/daemon/http_api_test.cc
+++ b/tests/daemon/http_api_test.cc
@@ -281,6 +281,20 @@
   CHECK(drained == 1);
 }
 
+TEST_CASE("holds.not_run_is_true: a refused call with a key may have run") {
+  // Guards against "not run" for a repeat of a call that another entry has run.
+  const Readiness ready{true, ""};
+  const Readiness unready{false, "recovering"};
+  const auto ran = [](const std::optional<Problem>& problem) {
+    return problem.value().EffectiveRan();
+  };
+  const auto route = ApiRoute::kExecuteRequest;
+  CHECK(ran(detail::RefusalOf(route, ready, true, true)) == Ran::kUnknown);
+  CHECK(ran(detail::RefusalOf(route, unready, false, true)) == Ran::kUnknown);
+  CHECK(ran(detail::RefusalOf(route, ready, true, false)) == Ran::kNo);
+  CHECK_FALSE(detail::RefusalOf(route, ready, false, true).has_value());
+}
+
 TEST_CASE("an exchange is answered once, whatever the backend does") {
   // Guards against callers that hang and answers that are sent twice.
   Harness harness;
