Name the silent log service when an entry is not ready; build in the demo

Cause: an entry without a reachable log service said only that its state was not recovered, and scripts/demo.sh expected a configured build folder, so it failed on a fresh clone.

Ruled out: ending the process when the log is out of reach; a peer or the log may come back, and /readyz keeps the balancer away until then.

--- a/packages/daemon/entry_core.cc
+++ b/packages/daemon/entry_core.cc
@@ -163,6 +163,10 @@
 }
 
 Readiness EntryCore::CurrentReadiness() const {
+  if (!this->ready && this->log_silent) {
+    return {false,
+            "the log service does not answer and no peer has sent its state"};
+  }
   if (!this->ready) {
     return {false, "the state has not been recovered from the log yet"};
   }
@@ -308,6 +312,7 @@
   this->behind = this->behind_since < Instant::Never() &&
                  now >= this->behind_since.After(kBehindPeersMs);
   this->ready = this->session.Ready();
+  this->log_silent = this->session.InOutage();
 }
 
 bool EntryCore::IsBehindPeers(Instant now) const {
--- a/packages/daemon/entry_core.h
+++ b/packages/daemon/entry_core.h
@@ -122,6 +122,7 @@
   Instant behind_since = Instant::Never();
   std::atomic<bool> ready = false;
   std::atomic<bool> behind = false;
+  std::atomic<bool> log_silent = false;
   /// Tells timers that outlive the core to do nothing.
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-dependencies.sh
+cmake -S . -B build -G Ninja >/dev/null
 cmake --build build --target carobrilld carobrill carobrill_fake_log carobrill_fake_worker carobrill_fake_endpoint >/dev/null
 bin="$PWD/build"
 dir="$(mktemp -d)"
