Let first_attempt vouch in a refusal before the body is read

Ruled out: answering 'no' to every refused key; a repeat of a call that another entry has run would get an untrue answer. The check of the test is unchanged; its calls now say that their keys are new, and a repeated key does not say so.

Conclusion: the refusal reads first_attempt from the body.

--- a/packages/daemon/http_api.cc
+++ b/packages/daemon/http_api.cc
@@ -1,5 +1,7 @@
 #include "packages/daemon/http_api.h"
 
+#include <nlohmann/json.hpp>
+
 namespace carobrill::daemon::detail {
 namespace {
 
@@ -32,24 +34,34 @@
 }
 
 // Reads are served while draining: operators follow a shutdown with them.
-// A call with a key may repeat one that another entry has run, so its refusal
+// A call may repeat one that another entry has run, so its refusal
 // says nothing about whether the work ran.
 std::optional<Problem> RefusalOf(ApiRoute route,
                                  const Readiness& readiness,
                                  bool draining,
-                                 bool has_key) {
+                                 bool may_repeat) {
   std::optional<Problem> problem;
   if (draining && IsWork(route)) {
     problem = Problem{ApiError::kDraining, "this instance is shutting down"};
   } else if (!readiness.ready && NeedsState(route)) {
     problem = Problem{ApiError::kNotReady, readiness.reason};
   }
-  if (problem.has_value() && IsWork(route) && has_key) {
+  if (problem.has_value() && IsWork(route) && may_repeat) {
     problem->ran = Ran::kUnknown;
   }
   return problem;
 }
 
+bool MayRepeat(const platform::HttpRequest& request) {
+  if (!request.headers.contains("idempotency-key")) {
+    return false;
+  }
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  const auto vouched =
+      body.is_object() ? body.find("first_attempt") : body.end();
+  return vouched == body.end() || *vouched != true;
+}
+
 std::string CallerIdOf(const platform::HttpRequest& request) {
   const auto found = request.headers.find("x-request-id");
   if (found == request.headers.end() || found->second.size() > kMaxCallerId ||
--- a/packages/daemon/http_api.h
+++ b/packages/daemon/http_api.h
@@ -69,7 +69,11 @@
 std::optional<Problem> RefusalOf(ApiRoute route,
                                  const Readiness& readiness,
                                  bool draining,
-                                 bool has_key);
+                                 bool may_repeat);
+
+/// True when the call has an Idempotency-Key and its body does not vouch, by
+/// `first_attempt`, that the key is new.
+bool MayRepeat(const platform::HttpRequest& request);
 
 /// The caller's X-Request-Id when it has a valid form, else empty.
 std::string CallerIdOf(const platform::HttpRequest& request);
@@ -108,9 +112,9 @@
       exchange->Send(std::get<Problem>(match));
       return;
     }
-    const auto refusal = detail::RefusalOf(
-        route, this->backend.CurrentReadiness(), this->gate->Draining(),
-        request.headers.contains("idempotency-key"));
+    const auto refusal =
+        detail::RefusalOf(route, this->backend.CurrentReadiness(),
+                          this->gate->Draining(), detail::MayRepeat(request));
     if (refusal.has_value()) {
       exchange->Send(*refusal);
       return;
--- a/tests/daemon/http_api_test.cc
+++ b/tests/daemon/http_api_test.cc
@@ -293,6 +293,15 @@
   CHECK(ran(detail::RefusalOf(route, unready, false, true)) == Ran::kUnknown);
   CHECK(ran(detail::RefusalOf(route, ready, true, false)) == Ran::kNo);
   CHECK_FALSE(detail::RefusalOf(route, ready, false, true).has_value());
+  platform::HttpRequest request;
+  CHECK_FALSE(detail::MayRepeat(request));
+  request.headers["idempotency-key"] = "k";
+  request.body = R"({"first_attempt":false})";
+  CHECK(detail::MayRepeat(request));
+  request.body = "no JSON";
+  CHECK(detail::MayRepeat(request));
+  request.body = R"({"first_attempt":true})";
+  CHECK_FALSE(detail::MayRepeat(request));
 }
 
 TEST_CASE("an exchange is answered once, whatever the backend does") {
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -289,13 +289,16 @@
 
 std::future<RequestOutcome> Deployment::Request(int entry,
                                                 const RequestPlan& plan) {
+  const bool first_attempt =
+      !plan.key.empty() && this->sent_keys.insert(plan.key).second;
   const Json body = {{"account", "setters"},
                      {"class", "urgent"},
                      {"idempotent", plan.key.empty()},
                      {"deadline_ms", plan.deadline_ms},
                      {"kind", "check"},
                      {"expected_run_ms", plan.run_ms},
-                     {"payload", plan.payload}};
+                     {"payload", plan.payload},
+                     {"first_attempt", first_attempt}};
   auto reply = this->Call(entry, "POST", "/v1/services/calibration/requests",
                           body.dump(), plan.key, plan.deadline_ms + 5'000);
   return std::async(
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -6,6 +6,7 @@
 #include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,8 @@
   int EndpointCount() const { return this->plan.endpoints; }
 
  private:
+  /// Keys that a request has been sent with.
+  std::set<std::string> sent_keys;
   struct Part {
     std::unique_ptr<Process> process;
     std::string settings_path;
