--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -117,13 +117,13 @@
 
 echo "== one non-idempotent request"
 cli request calibration --account setters \
-  --class urgent --kind check --expected-run-ms 100 --key demo-1 --deadline-ms 5000 --payload "barometer 1013"
+  --class urgent --kind check --expected-run-ms 100 --key demo-1 --deadline-ms 5000 --payload "reading 1013"
 
 echo "== killing entry-a; the same request again is answered by entry-b"
 kill -9 "${pids[entry-a]}"
 wait "${pids[entry-a]}" 2>/dev/null || true
 cli request calibration --account setters \
-  --class urgent --kind check --expected-run-ms 100 --key demo-1 --deadline-ms 5000 --payload "barometer 1013"
+  --class urgent --kind check --expected-run-ms 100 --key demo-1 --deadline-ms 5000 --payload "reading 1013"
 echo "times it ran at the endpoints:"
 for i in 1 2; do curl -s "http://127.0.0.1:$((port + 30 + i))/stats"; echo; done
 
