--- a/tests/agent/fixtures.h
+++ b/tests/agent/fixtures.h
@@ -16,14 +16,13 @@
     std::string(CAROBRILL_SOURCE_DIRECTORY) + "/charts";
 
 inline const GateChart& TestGateChart() {
-  static const GateChart kChart = GateChart::Load(kCharts, "endpoint").value();
-  return kChart;
+  static const GateChart chart = GateChart::Load(kCharts, "endpoint").value();
+  return chart;
 }
 
 inline const MemberChart& TestMemberChart() {
-  static const MemberChart kChart =
-      MemberChart::Load(kCharts, "member").value();
-  return kChart;
+  static const MemberChart chart = MemberChart::Load(kCharts, "member").value();
+  return chart;
 }
 
 inline Identity IdentityOf(int number) {
