--- a/packages/cli/entry_caller.cc
+++ b/packages/cli/entry_caller.cc
@@ -10,8 +10,8 @@
 namespace {
 
 using nlohmann::json;
-using platform::HttpFailure;
-using platform::HttpReply;
+using http::HttpFailure;
+using http::HttpReply;
 
 constexpr int kUnavailable = 503;
 constexpr const char* kErrorPrefix = "urn:carobrill:error:";
@@ -153,7 +153,7 @@
 }
 
 HttpReply EntryCaller::Send(const std::string& url, const ApiCall& call) {
-  platform::HttpCall http;
+  http::HttpCall http;
   http.method = call.method;
   http.url = url + call.path;
   http.body = call.body;
--- a/packages/cli/entry_caller.h
+++ b/packages/cli/entry_caller.h
@@ -9,7 +9,7 @@
 
 #include "packages/core/result.h"
 #include "packages/core/task.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 
 namespace carobrill::cli {
 
@@ -46,12 +46,12 @@
   Result<nlohmann::json> Call(const ApiCall& call);
 
  private:
-  platform::HttpReply Send(const std::string& url, const ApiCall& call);
+  http::HttpReply Send(const std::string& url, const ApiCall& call);
 
   std::vector<std::string> urls;
   std::int64_t timeout_ms;
   Task task;
-  platform::HttpClient client;
+  http::HttpClient client;
 };
 
 }  // namespace carobrill::cli
--- a/packages/daemon/agent_context.h
+++ b/packages/daemon/agent_context.h
@@ -8,7 +8,7 @@
 #include "packages/agent/lease_holder.h"
 #include "packages/core/task.h"
 #include "packages/daemon/settings.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "packages/rpc/agent_client.h"
 #include "packages/rpc/channel_pool.h"
 #include "packages/rpc/entry_client.h"
@@ -29,7 +29,7 @@
   rpc::ChannelPool channels;
   rpc::EntryClient entries;
   rpc::AgentClient agents;
-  platform::HttpClient http;
+  http::HttpClient http;
   /// "ip:port" on which other processes reach this agent.
   std::string address;
 };
--- a/packages/daemon/agent_role.cc
+++ b/packages/daemon/agent_role.cc
@@ -12,7 +12,7 @@
 #include "packages/daemon/agent_gangs.h"
 #include "packages/daemon/agent_requests.h"
 #include "packages/daemon/agent_status_page.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 #include "packages/rpc/agent_server.h"
 
 namespace carobrill::daemon {
@@ -70,8 +70,8 @@
                   }),
         server(task, this->Handlers()),
         pages(task,
-              [this](const platform::HttpRequest& request,
-                     const platform::HttpResponder& respond) {
+              [this](const http::HttpRequest& request,
+                     const http::HttpResponder& respond) {
                 respond(AgentPage(request, this->Status()));
               }) {}
 
@@ -82,7 +82,7 @@
   }
 
   rpc::AgentServer& Server() { return this->server; }
-  platform::HttpServer& Pages() { return this->pages; }
+  http::HttpServer& Pages() { return this->pages; }
 
   void Tick() {
     const Instant now = BootClock{}.Now();
@@ -253,7 +253,7 @@
   bool stopped_all = false;
   bool closing = false;
   rpc::AgentServer server;
-  platform::HttpServer pages;
+  http::HttpServer pages;
 };
 
 }  // namespace
--- a/packages/daemon/agent_role.h
+++ b/packages/daemon/agent_role.h
@@ -22,7 +22,7 @@
   AgentRole& operator=(const AgentRole&) = delete;
 
   /// Listens and starts to announce itself. Fails with ChartError,
-  /// rpc::RpcListenError or platform::ListenError.
+  /// rpc::RpcListenError or http::ListenError.
   Result<void> Start();
 
   /// Leaves: refuses new work, finishes running work, then runs `drained` once
--- a/packages/daemon/agent_status_page.cc
+++ b/packages/daemon/agent_status_page.cc
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-platform::HttpResponse AgentPage(const platform::HttpRequest& request,
+http::HttpResponse AgentPage(const http::HttpRequest& request,
                                  const AgentStatus& status) {
   if (request.path == "/metrics") {
     return {200, MetricsText(status), "text/plain; version=0.0.4", {}};
--- a/packages/daemon/agent_status_page.h
+++ b/packages/daemon/agent_status_page.h
@@ -6,7 +6,7 @@
 
 #include "packages/agent/endpoint_gate.h"
 #include "packages/agent/worker_capacity.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::daemon {
 
@@ -22,7 +22,7 @@
 };
 
 /// Answers /healthz, /readyz and /metrics (Prometheus text).
-platform::HttpResponse AgentPage(const platform::HttpRequest& request,
+http::HttpResponse AgentPage(const http::HttpRequest& request,
                                  const AgentStatus& status);
 
 }  // namespace carobrill::daemon
--- a/packages/daemon/api_codec.cc
+++ b/packages/daemon/api_codec.cc
@@ -11,7 +11,7 @@
 namespace {
 
 using Json = nlohmann::json;
-using platform::HttpRequest;
+using http::HttpRequest;
 
 constexpr std::size_t kMaxName = 64;
 constexpr std::size_t kMaxKey = 128;
@@ -549,8 +549,8 @@
   return Dump(json);
 }
 
-platform::HttpResponse ResponseOf(const Problem& problem) {
-  platform::HttpResponse response;
+http::HttpResponse ResponseOf(const Problem& problem) {
+  http::HttpResponse response;
   response.status = InfoOf(problem.error).status;
   response.content_type = "application/problem+json";
   response.body = Render(problem);
--- a/packages/daemon/api_codec.h
+++ b/packages/daemon/api_codec.h
@@ -7,7 +7,7 @@
 
 #include "packages/core/time.h"
 #include "packages/daemon/api_types.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::daemon {
 
@@ -25,41 +25,41 @@
 
 /// Reads the body of POST /v1/services/{service}/requests. `now` is the boot
 /// clock. The field `request` stays empty.
-Answer<RequestCommand> ParseRequestCommand(const platform::HttpRequest& request,
+Answer<RequestCommand> ParseRequestCommand(const http::HttpRequest& request,
                                            const std::string& service,
                                            const ApiLimits& limits,
                                            Instant now);
 
 /// Reads the body of POST /v1/jobs. `now` is the wall clock.
-Answer<JobCommand> ParseJobCommand(const platform::HttpRequest& request,
+Answer<JobCommand> ParseJobCommand(const http::HttpRequest& request,
                                    const ApiLimits& limits,
                                    Instant now);
 
 /// Reads the body of POST /v1/rules.
-Answer<PublishRules> ParsePublishRules(const platform::HttpRequest& request,
+Answer<PublishRules> ParsePublishRules(const http::HttpRequest& request,
                                        const ApiLimits& limits);
 
 /// Reads the body of POST /v1/rules/check and returns the rule text.
-Answer<std::string> ParseRulesText(const platform::HttpRequest& request,
+Answer<std::string> ParseRulesText(const http::HttpRequest& request,
                                    const ApiLimits& limits);
 
 /// Reads the body of POST /v1/workers/{worker}/drain and undrain; it may be
 /// empty.
-Answer<DrainCommand> ParseDrainCommand(const platform::HttpRequest& request,
+Answer<DrainCommand> ParseDrainCommand(const http::HttpRequest& request,
                                        const std::string& worker,
                                        bool drain,
                                        const ApiLimits& limits);
 
 /// Reads DELETE /v1/jobs/{job}, which has no body.
-Answer<CancelCommand> ParseCancelCommand(const platform::HttpRequest& request,
+Answer<CancelCommand> ParseCancelCommand(const http::HttpRequest& request,
                                          const std::string& job);
 
 /// Reads the query parameters `limit` (1 to 1000) and `after`.
-Answer<PageQuery> ParsePageQuery(const platform::HttpRequest& request);
+Answer<PageQuery> ParsePageQuery(const http::HttpRequest& request);
 
 /// Reads the query parameters of GET /v1/jobs: those of a page, and `account`,
 /// `class` and `state`.
-Answer<JobQuery> ParseJobQuery(const platform::HttpRequest& request);
+Answer<JobQuery> ParseJobQuery(const http::HttpRequest& request);
 
 /// @{
 /// Bodies of answers, as JSON.
@@ -80,7 +80,7 @@
 /// @}
 
 /// The answer to a request that failed with `problem`.
-platform::HttpResponse ResponseOf(const Problem& problem);
+http::HttpResponse ResponseOf(const Problem& problem);
 
 }  // namespace carobrill::daemon
 
--- a/packages/daemon/api_exchange.cc
+++ b/packages/daemon/api_exchange.cc
@@ -49,7 +49,7 @@
   return std::exchange(this->drained, {});
 }
 
-ApiExchange::ApiExchange(platform::HttpResponder respond,
+ApiExchange::ApiExchange(http::HttpResponder respond,
                          std::shared_ptr<DrainGate> gate,
                          std::shared_ptr<ApiMetrics> metrics,
                          ApiRoute route,
@@ -72,7 +72,7 @@
   this->Send(Problem{ApiError::kInternal, "the request was dropped"});
 }
 
-void ApiExchange::Send(platform::HttpResponse response) {
+void ApiExchange::Send(http::HttpResponse response) {
   if (this->answered.exchange(true)) {
     return;
   }
--- a/packages/daemon/api_exchange.h
+++ b/packages/daemon/api_exchange.h
@@ -12,7 +12,7 @@
 #include "packages/daemon/api_metrics.h"
 #include "packages/daemon/api_route.h"
 #include "packages/daemon/api_types.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::daemon {
 
@@ -50,7 +50,7 @@
 /// gets the error `internal`.
 class ApiExchange {
  public:
-  ApiExchange(platform::HttpResponder respond,
+  ApiExchange(http::HttpResponder respond,
               std::shared_ptr<DrainGate> gate,
               std::shared_ptr<ApiMetrics> metrics,
               ApiRoute route,
@@ -61,13 +61,13 @@
   ApiExchange& operator=(const ApiExchange&) = delete;
 
   /// Sends the answer to this exchange's caller.
-  void Send(platform::HttpResponse response);
+  void Send(http::HttpResponse response);
 
   /// Sends `problem` to this exchange's caller.
   void Send(const Problem& problem);
 
  private:
-  platform::HttpResponder respond;
+  http::HttpResponder respond;
   std::shared_ptr<DrainGate> gate;
   std::shared_ptr<ApiMetrics> metrics;
   ApiRoute route;
--- a/packages/daemon/entry_core.h
+++ b/packages/daemon/entry_core.h
@@ -23,7 +23,7 @@
 #include "packages/daemon/worker_registrar.h"
 #include "packages/ledger/recovery.h"
 #include "packages/membership/directory.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "packages/platform/log_client.h"
 #include "packages/rpc/agent_client.h"
 #include "packages/rpc/channel_pool.h"
@@ -101,7 +101,7 @@
   EntryIdentity identity;
   Task& task;
   EntryMetrics metrics;
-  platform::HttpClient http;
+  http::HttpClient http;
   platform::LogClient log;
   TaskScheduler scheduler;
   EntrySession session;
--- a/packages/daemon/entry_role.cc
+++ b/packages/daemon/entry_role.cc
@@ -10,7 +10,7 @@
 #include "packages/daemon/entry_backend.h"
 #include "packages/daemon/entry_core.h"
 #include "packages/daemon/http_api.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 
 namespace carobrill::daemon {
 namespace {
@@ -124,7 +124,7 @@
     this->api = std::make_unique<HttpApi<EntryBackend>>(
         *this->backend, this->metrics, LimitsOf(this->settings.entry.requests),
         this->id_prefix);
-    this->api_server = std::make_unique<platform::HttpServer>(
+    this->api_server = std::make_unique<http::HttpServer>(
         this->http_task,
         [this](const auto& request, auto respond) {
           this->api->Handle(request, std::move(respond));
@@ -159,7 +159,7 @@
   std::unique_ptr<rpc::EntryServer> rpc_server;
   std::unique_ptr<EntryBackend> backend;
   std::unique_ptr<HttpApi<EntryBackend>> api;
-  std::unique_ptr<platform::HttpServer> api_server;
+  std::unique_ptr<http::HttpServer> api_server;
   std::function<void()> drained;
 };
 
--- a/packages/daemon/entry_role.h
+++ b/packages/daemon/entry_role.h
@@ -22,7 +22,7 @@
   EntryRole& operator=(const EntryRole&) = delete;
 
   /// Listens and starts to recover the state. Fails with ChartError,
-  /// rpc::RpcListenError or platform::ListenError.
+  /// rpc::RpcListenError or http::ListenError.
   Result<void> Start();
 
   /// Refuses new work, finishes what is in progress, hands over planning, then
--- a/packages/daemon/http_api.cc
+++ b/packages/daemon/http_api.cc
@@ -14,14 +14,14 @@
 
 }  // namespace
 
-platform::HttpResponse JsonResponse(int status, std::string body) {
-  platform::HttpResponse response;
+http::HttpResponse JsonResponse(int status, std::string body) {
+  http::HttpResponse response;
   response.status = status;
   response.body = std::move(body);
   return response;
 }
 
-platform::HttpResponse ReadyResponse(const Readiness& readiness,
+http::HttpResponse ReadyResponse(const Readiness& readiness,
                                      bool draining) {
   if (draining) {
     return ResponseOf(
@@ -52,7 +52,7 @@
   return problem;
 }
 
-bool MayRepeat(const platform::HttpRequest& request) {
+bool MayRepeat(const http::HttpRequest& request) {
   if (!request.headers.contains("idempotency-key")) {
     return false;
   }
@@ -62,7 +62,7 @@
   return vouched == body.end() || *vouched != true;
 }
 
-std::string CallerIdOf(const platform::HttpRequest& request) {
+std::string CallerIdOf(const http::HttpRequest& request) {
   const auto found = request.headers.find("x-request-id");
   if (found == request.headers.end() || found->second.size() > kMaxCallerId ||
       !IsValidIdempotencyKey(found->second)) {
--- a/packages/daemon/http_api.h
+++ b/packages/daemon/http_api.h
@@ -18,7 +18,7 @@
 #include "packages/daemon/api_metrics.h"
 #include "packages/daemon/api_route.h"
 #include "packages/daemon/api_types.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::daemon {
 
@@ -60,10 +60,10 @@
 namespace detail {
 
 /// An HTTP answer with a JSON body.
-platform::HttpResponse JsonResponse(int status, std::string body);
+http::HttpResponse JsonResponse(int status, std::string body);
 
 /// The answer of /readyz.
-platform::HttpResponse ReadyResponse(const Readiness& readiness, bool draining);
+http::HttpResponse ReadyResponse(const Readiness& readiness, bool draining);
 
 /// The problem with which `route` is refused now, if it is.
 std::optional<Problem> RefusalOf(ApiRoute route,
@@ -73,10 +73,10 @@
 
 /// True when the call has an Idempotency-Key and its body does not vouch, by
 /// `first_attempt`, that the key is new.
-bool MayRepeat(const platform::HttpRequest& request);
+bool MayRepeat(const http::HttpRequest& request);
 
 /// The caller's X-Request-Id when it has a valid form, else empty.
-std::string CallerIdOf(const platform::HttpRequest& request);
+std::string CallerIdOf(const http::HttpRequest& request);
 
 }  // namespace detail
 
@@ -99,9 +99,9 @@
         id_prefix(std::move(id_prefix)),
         gate(std::make_shared<DrainGate>()) {}
 
-  /// Handles one request; for use as platform::HttpHandler.
-  void Handle(const platform::HttpRequest& request,
-              platform::HttpResponder respond) {
+  /// Handles one request; for use as http::HttpHandler.
+  void Handle(const http::HttpRequest& request,
+              http::HttpResponder respond) {
     const Answer<RouteMatch> match = MatchRoute(request.method, request.path);
     const auto* found = std::get_if<RouteMatch>(&match);
     const ApiRoute route = found == nullptr ? ApiRoute::kUnknown : found->route;
@@ -124,7 +124,7 @@
 
   /// Makes /readyz fail and refuses new work. `drained` runs once, when every
   /// request in progress has its answer; the HTTP server may still be sending
-  /// the last one (see platform::HttpServer::WhenIdle).
+  /// the last one (see http::HttpServer::WhenIdle).
   void BeginDrain(std::function<void()> drained = {}) {
     this->gate->BeginDrain(std::move(drained));
   }
@@ -157,7 +157,7 @@
     use(std::move(std::get<T>(parsed)));
   }
 
-  void Dispatch(const platform::HttpRequest& request,
+  void Dispatch(const http::HttpRequest& request,
                 const RouteMatch& match,
                 const Exchange& exchange) {
     switch (match.route) {
@@ -177,7 +177,7 @@
       case ApiRoute::kUndrainWorker:
         return this->DrainWorker(request, match, exchange);
       case ApiRoute::kMetrics:
-        return exchange->Send(platform::HttpResponse{
+        return exchange->Send(http::HttpResponse{
             200, this->metrics.Render(), "text/plain; version=0.0.4", {}});
       case ApiRoute::kHealth:
         return exchange->Send(detail::JsonResponse(200, "{\"status\":\"ok\"}"));
@@ -191,7 +191,7 @@
 
   // An answer that carries another request's id is never passed on: its caller
   // would read the answer to somebody else's request.
-  void ExecuteRequest(const platform::HttpRequest& request,
+  void ExecuteRequest(const http::HttpRequest& request,
                       const std::string& service,
                       const Exchange& exchange) {
     this->With(
@@ -214,7 +214,7 @@
         });
   }
 
-  void DispatchJob(const platform::HttpRequest& request,
+  void DispatchJob(const http::HttpRequest& request,
                    const RouteMatch& match,
                    const Exchange& exchange) {
     if (match.route == ApiRoute::kSubmitJob) {
@@ -242,7 +242,7 @@
     }
   }
 
-  void DispatchRules(const platform::HttpRequest& request,
+  void DispatchRules(const http::HttpRequest& request,
                      const RouteMatch& match,
                      const Exchange& exchange) {
     if (match.route == ApiRoute::kPublishRules) {
@@ -270,7 +270,7 @@
     }
   }
 
-  void DispatchList(const platform::HttpRequest& request,
+  void DispatchList(const http::HttpRequest& request,
                     const RouteMatch& match,
                     const Exchange& exchange) {
     this->With(ParsePageQuery(request), exchange, [&](PageQuery query) {
@@ -302,7 +302,7 @@
     });
   }
 
-  void DrainWorker(const platform::HttpRequest& request,
+  void DrainWorker(const http::HttpRequest& request,
                    const RouteMatch& match,
                    const Exchange& exchange) {
     const bool drain = match.route == ApiRoute::kDrainWorker;
--- a/packages/daemon/main_carobrilld.cc
+++ b/packages/daemon/main_carobrilld.cc
@@ -11,7 +11,7 @@
 #include "packages/daemon/daemon_runner.h"
 #include "packages/daemon/entry_role.h"
 #include "packages/daemon/settings.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 #include "packages/rpc/rpc_types.h"
 
 namespace carobrill::daemon {
@@ -32,7 +32,7 @@
         BOOST_LEAF_CHECK(role.Start());
         return Failure();
       },
-      [](const platform::ListenError& error) -> Failure {
+      [](const http::ListenError& error) -> Failure {
         return CannotListen(error.address, error.port, error.reason);
       },
       [](const rpc::RpcListenError& error) -> Failure {
--- /dev/null
+++ b/packages/gateway/topic_follower.h
@@ -0,0 +1,238 @@
+#ifndef PACKAGES_GATEWAY_TOPIC_FOLLOWER_H_
+#define PACKAGES_GATEWAY_TOPIC_FOLLOWER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "packages/core/keyed_log.h"
+#include "packages/core/log.h"
+#include "packages/core/task.h"
+#include "packages/core/time.h"
+
+namespace carobrill::gateway {
+
+/// Times of a follower's calls, in ms.
+struct FollowerSettings {
+  /// How long one read waits for new records. The view is never older than
+  /// this and a round trip, which bounds how long a removed key is honoured.
+  std::int64_t wait_ms = 1'000;
+  /// Longest answer of the log beyond the wait: the slowest stores that are
+  /// to be served answer after about 350 ms.
+  std::int64_t answer_ms = 1'200;
+  std::int64_t retry_ms = 100;
+};
+
+/// What a follower tells its owner. All run on the owner's task.
+struct FollowerCallbacks {
+  /// A new or removed entry, in the order of the log.
+  std::function<void(const KeyedRecord&)> on_record;
+  /// A whole state was read; keys that are not in it have been removed.
+  std::function<void(const std::set<std::string>&)> on_snapshot;
+  /// Records were delivered, or a read confirmed that there are none.
+  std::function<void()> on_progress = [] {};
+};
+
+/// Follows one topic of the keyed log: reads the newest entry of each key, then
+/// the records that come.
+template <KeyedLog LogStore>
+class TopicFollower {
+ public:
+  TopicFollower(Task& task,
+                LogStore& log,
+                std::string topic,
+                FollowerSettings settings,
+                FollowerCallbacks callbacks)
+      : task(task),
+        log(log),
+        topic(std::move(topic)),
+        settings(settings),
+        callbacks(std::move(callbacks)) {}
+
+  ~TopicFollower() { *this->alive = false; }
+
+  TopicFollower(const TopicFollower&) = delete;
+  TopicFollower& operator=(const TopicFollower&) = delete;
+
+  /// Starts with a new snapshot.
+  void Start() {
+    ++this->round;
+    this->loaded = false;
+    this->tail_from = 0;
+    this->keys.clear();
+    this->ReadPage("");
+  }
+
+  /// True once a whole state has been delivered.
+  bool Loaded() const { return this->loaded; }
+
+  /// Boot clock: the view holds all that was stored before this.
+  Instant FreshAt() const { return this->fresh_at; }
+
+  /// Offset after the newest record delivered.
+  Offset Next() const { return this->next; }
+
+  /// True when the newest read failed.
+  bool Failing() const { return this->failing; }
+
+  /// Runs `done(true)` once everything stored before this call has been
+  /// delivered, or `done(false)` when the log does not answer.
+  void Barrier(std::function<void(bool)> done) {
+    if (!this->loaded) {
+      done(false);
+      return;
+    }
+    const Instant sent = BootClock{}.Now();
+    this->log.Read({this->topic, this->next, 0,
+                    sent.After(this->settings.answer_ms)},
+                   [this, alive = this->alive, sent, round = this->round,
+                    done = std::move(done)](KeyedReadReply reply) {
+                     if (!*alive) {
+                       return;
+                     }
+                     const bool read = reply.failure == KeyedLogFailure::kNone &&
+                                       round == this->round;
+                     if (read) {
+                       this->Deliver(reply, sent);
+                     }
+                     done(read && this->next >= reply.end);
+                   });
+  }
+
+ private:
+  void ReadPage(const std::string& after_key) {
+    const Instant sent = BootClock{}.Now();
+    this->log.ReadSnapshot(
+        {this->topic, after_key, sent.After(this->settings.answer_ms)},
+        [this, alive = this->alive, round = this->round, sent,
+         after_key](KeyedSnapshotReply reply) {
+          if (*alive && round == this->round) {
+            this->OnPage(reply, sent, after_key);
+          }
+        });
+  }
+
+  // Pages are not taken at one moment, so the tail starts at the end that the
+  // first page named; what comes twice is dropped by its offset.
+  void OnPage(const KeyedSnapshotReply& reply,
+              Instant sent,
+              const std::string& after_key) {
+    if (reply.failure != KeyedLogFailure::kNone) {
+      this->NoteFailure(reply.failure);
+      this->Again([this, after_key] { this->ReadPage(after_key); });
+      return;
+    }
+    if (after_key.empty()) {
+      this->tail_from = reply.end;
+      this->snapshot_sent = sent;
+    }
+    for (const KeyedRecord& record : reply.records) {
+      this->keys.insert(record.entry.key);
+      this->callbacks.on_record(record);
+    }
+    if (reply.more && !reply.records.empty()) {
+      this->ReadPage(reply.records.back().entry.key);
+      return;
+    }
+    this->next = this->tail_from;
+    this->loaded = true;
+    this->fresh_at = this->snapshot_sent;
+    this->NoteSuccess();
+    this->callbacks.on_snapshot(std::exchange(this->keys, {}));
+    this->callbacks.on_progress();
+    this->ReadTail();
+  }
+
+  void ReadTail() {
+    const Instant sent = BootClock{}.Now();
+    this->log.Read(
+        {this->topic, this->next, this->settings.wait_ms,
+         sent.After(this->settings.wait_ms + this->settings.answer_ms)},
+        [this, alive = this->alive, round = this->round,
+         sent](KeyedReadReply reply) {
+          if (*alive && round == this->round) {
+            this->OnTail(reply, sent);
+          }
+        });
+  }
+
+  void OnTail(const KeyedReadReply& reply, Instant sent) {
+    if (reply.failure == KeyedLogFailure::kExpired) {
+      Log(LogLevel::kWarning, "records expired; the state is read anew",
+          {{"topic", this->topic}, {"next", std::to_string(this->next)}});
+      this->Start();
+      return;
+    }
+    if (reply.failure != KeyedLogFailure::kNone) {
+      this->NoteFailure(reply.failure);
+      this->Again([this] { this->ReadTail(); });
+      return;
+    }
+    this->NoteSuccess();
+    this->Deliver(reply, sent);
+    this->ReadTail();
+  }
+
+  void Deliver(const KeyedReadReply& reply, Instant sent) {
+    for (const KeyedRecord& record : reply.records) {
+      if (record.offset >= this->next) {
+        this->callbacks.on_record(record);
+      }
+    }
+    this->next = std::max(this->next, reply.next);
+    if (this->next >= reply.end) {
+      this->fresh_at = std::max(this->fresh_at, sent);
+    }
+    this->callbacks.on_progress();
+  }
+
+  void Again(std::function<void()> step) {
+    this->task.PostAt(BootClock{}.Now().After(this->settings.retry_ms),
+                      [alive = this->alive, round = this->round, this,
+                       step = std::move(step)] {
+                        if (*alive && round == this->round) {
+                          step();
+                        }
+                      });
+  }
+
+  void NoteFailure(KeyedLogFailure failure) {
+    if (!std::exchange(this->failing, true)) {
+      Log(LogLevel::kWarning, "dependency lost",
+                     {{"dependency", "log"},
+                      {"topic", this->topic},
+                      {"reason", std::string(NameOf(failure))}});
+    }
+  }
+
+  void NoteSuccess() {
+    if (std::exchange(this->failing, false)) {
+      Log(LogLevel::kInfo, "dependency regained",
+                     {{"dependency", "log"}, {"topic", this->topic}});
+    }
+  }
+
+  Task& task;
+  LogStore& log;
+  std::string topic;
+  FollowerSettings settings;
+  FollowerCallbacks callbacks;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  /// Answers to calls of an earlier round are dropped.
+  std::uint64_t round = 0;
+  bool loaded = false;
+  bool failing = false;
+  Offset next = 0;
+  Offset tail_from = 0;
+  Instant fresh_at;
+  Instant snapshot_sent;
+  std::set<std::string> keys;
+};
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_TOPIC_FOLLOWER_H_
--- a/packages/platform/http_client.cc
+++ b/packages/http/http_client.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 
 #include <libsoup/soup.h>
 
@@ -6,7 +6,7 @@
 #include <memory>
 #include <utility>
 
-namespace carobrill::platform {
+namespace carobrill::http {
 namespace {
 
 constexpr int kMaxConnections = 512;
@@ -174,4 +174,4 @@
                                    pending->cancellable, OnReply, pending);
 }
 
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
--- a/packages/platform/http_client.h
+++ b/packages/http/http_client.h
@@ -1,15 +1,15 @@
-#ifndef PACKAGES_PLATFORM_HTTP_CLIENT_H_
-#define PACKAGES_PLATFORM_HTTP_CLIENT_H_
+#ifndef PACKAGES_HTTP_HTTP_CLIENT_H_
+#define PACKAGES_HTTP_HTTP_CLIENT_H_
 
 #include <functional>
 #include <memory>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 typedef struct _SoupSession SoupSession;
 
-namespace carobrill::platform {
+namespace carobrill::http {
 
 /// An HTTP client whose sockets belong to one task.
 class HttpClient {
@@ -39,6 +39,6 @@
   std::shared_ptr<bool> closed = std::make_shared<bool>(false);
 };
 
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
 
-#endif  // PACKAGES_PLATFORM_HTTP_CLIENT_H_
+#endif  // PACKAGES_HTTP_HTTP_CLIENT_H_
--- a/packages/platform/http_server.cc
+++ b/packages/http/http_server.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 
 #include <libsoup/soup.h>
 
@@ -6,7 +6,7 @@
 #include <optional>
 #include <utility>
 
-namespace carobrill::platform {
+namespace carobrill::http {
 namespace {
 
 constexpr int kListenBacklog = 1024;
@@ -287,4 +287,4 @@
   }
 }
 
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
--- a/packages/platform/http_server.h
+++ b/packages/http/http_server.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_HTTP_SERVER_H_
-#define PACKAGES_PLATFORM_HTTP_SERVER_H_
+#ifndef PACKAGES_HTTP_HTTP_SERVER_H_
+#define PACKAGES_HTTP_HTTP_SERVER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,11 +9,11 @@
 
 #include "packages/core/result.h"
 #include "packages/core/task.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 typedef struct _SoupServer SoupServer;
 
-namespace carobrill::platform {
+namespace carobrill::http {
 
 /// An address on which a server could not listen, with the system's reason.
 struct ListenError {
@@ -72,6 +72,6 @@
   SoupServer* server = nullptr;
 };
 
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
 
-#endif  // PACKAGES_PLATFORM_HTTP_SERVER_H_
+#endif  // PACKAGES_HTTP_HTTP_SERVER_H_
--- a/packages/platform/http_types.h
+++ b/packages/http/http_types.h
@@ -1,5 +1,5 @@
-#ifndef PACKAGES_PLATFORM_HTTP_TYPES_H_
-#define PACKAGES_PLATFORM_HTTP_TYPES_H_
+#ifndef PACKAGES_HTTP_HTTP_TYPES_H_
+#define PACKAGES_HTTP_HTTP_TYPES_H_
 
 #include <functional>
 #include <map>
@@ -8,7 +8,7 @@
 #include "packages/core/name_table.h"
 #include "packages/core/time.h"
 
-namespace carobrill::platform {
+namespace carobrill::http {
 
 /// Why a call got no whole response.
 enum class HttpFailure {
@@ -82,6 +82,6 @@
 /// Handles one request on the server's task.
 using HttpHandler = std::function<void(const HttpRequest&, HttpResponder)>;
 
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
 
-#endif  // PACKAGES_PLATFORM_HTTP_TYPES_H_
+#endif  // PACKAGES_HTTP_HTTP_TYPES_H_
--- a/packages/platform/endpoint_client.cc
+++ b/packages/platform/endpoint_client.cc
@@ -10,7 +10,7 @@
 
 // An answer without the right attempt is another request's: passing it on would
 // give one caller the answer of another.
-PlatformReply<std::string> AnswerOf(const HttpReply& reply,
+PlatformReply<std::string> AnswerOf(const http::HttpReply& reply,
                                     const std::string& attempt) {
   PlatformReply<std::string> result;
   result.failure = FailureOf(reply);
@@ -30,8 +30,8 @@
   return result;
 }
 
-PlatformReply<EndpointHealth> HealthOf(const HttpReply& reply) {
-  if (reply.failure == HttpFailure::kNone) {
+PlatformReply<EndpointHealth> HealthOf(const http::HttpReply& reply) {
+  if (reply.failure == http::HttpFailure::kNone) {
     return {PlatformFailure::kNone,
             reply.Ok() ? EndpointHealth::kServing : EndpointHealth::kLeaving};
   }
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-EndpointClient::EndpointClient(HttpClient& http, std::string url)
+EndpointClient::EndpointClient(http::HttpClient& http, std::string url)
     : http(http), url(std::move(url)) {}
 
 void EndpointClient::Execute(const std::string& attempt,
@@ -50,24 +50,24 @@
                              PlatformCallback<std::string> callback) {
   const Json json = {
       {"attempt", attempt}, {"payload", payload}, {"run_ms", run_ms}};
-  HttpCall call;
+  http::HttpCall call;
   call.method = "POST";
   call.url = this->url + "/v1/execute";
   call.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
   call.deadline = deadline;
   this->http.Send(std::move(call), [attempt, callback = std::move(callback)](
-                                       const HttpReply& reply) {
+                                       const http::HttpReply& reply) {
     callback(AnswerOf(reply, attempt));
   });
 }
 
 void EndpointClient::Health(Instant deadline,
                             PlatformCallback<EndpointHealth> callback) {
-  HttpCall call;
+  http::HttpCall call;
   call.url = this->url + "/v1/health";
   call.deadline = deadline;
   this->http.Send(std::move(call),
-                  [callback = std::move(callback)](const HttpReply& reply) {
+                  [callback = std::move(callback)](const http::HttpReply& reply) {
                     callback(HealthOf(reply));
                   });
 }
--- a/packages/platform/endpoint_client.h
+++ b/packages/platform/endpoint_client.h
@@ -6,7 +6,7 @@
 
 #include "packages/core/name_table.h"
 #include "packages/core/time.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "packages/platform/platform_reply.h"
 
 namespace carobrill::platform {
@@ -23,7 +23,7 @@
 class EndpointClient {
  public:
   /// `url` is the endpoint's base URL; `http` must outlive the client.
-  EndpointClient(HttpClient& http, std::string url);
+  EndpointClient(http::HttpClient& http, std::string url);
 
   /// Runs one attempt; the answer must be whole and echo `attempt`.
   void Execute(const std::string& attempt,
@@ -36,7 +36,7 @@
   void Health(Instant deadline, PlatformCallback<EndpointHealth> callback);
 
  private:
-  HttpClient& http;
+  http::HttpClient& http;
   std::string url;
 };
 
--- a/packages/platform/log_client.cc
+++ b/packages/platform/log_client.cc
@@ -44,15 +44,15 @@
 
 // 503 is the service's own refusal; any other status does not tell whether
 // the call took effect.
-StoreFailure FailureOf(const HttpReply& reply) {
+StoreFailure FailureOf(const http::HttpReply& reply) {
   switch (reply.failure) {
-    case HttpFailure::kNone:
+    case http::HttpFailure::kNone:
       break;
-    case HttpFailure::kInvalidUrl:
+    case http::HttpFailure::kInvalidUrl:
       return StoreFailure::kUnavailable;
-    case HttpFailure::kUnreachable:
-    case HttpFailure::kTimeout:
-    case HttpFailure::kTruncated:
+    case http::HttpFailure::kUnreachable:
+    case http::HttpFailure::kTimeout:
+    case http::HttpFailure::kTruncated:
       return StoreFailure::kNoAnswer;
   }
   if (reply.status == kStatusUnavailable) {
@@ -75,7 +75,7 @@
   return Json::parse(body, nullptr, /*allow_exceptions=*/false);
 }
 
-AppendReply ParseAppend(const HttpReply& reply) {
+AppendReply ParseAppend(const http::HttpReply& reply) {
   AppendReply result;
   result.failure = FailureOf(reply);
   if (result.failure != StoreFailure::kNone) {
@@ -140,8 +140,8 @@
   return reply;
 }
 
-ReadReply ParseRead(const HttpReply& http, const ReadQuery& query) {
-  if (http.failure == HttpFailure::kNone && http.status == kStatusGone) {
+ReadReply ParseRead(const http::HttpReply& http, const ReadQuery& query) {
+  if (http.failure == http::HttpFailure::kNone && http.status == kStatusGone) {
     return ParseExpired(ParseBody(http.body));
   }
   const StoreFailure failure = FailureOf(http);
@@ -164,7 +164,7 @@
 
 }  // namespace
 
-LogClient::LogClient(HttpClient& client, std::string url)
+LogClient::LogClient(http::HttpClient& client, std::string url)
     : client(client), url(std::move(url)) {}
 
 void LogClient::Append(const std::string& stream,
@@ -176,13 +176,13 @@
   for (const auto& record : records) {
     body["records"].push_back(EncodeBase64(record));
   }
-  HttpCall call;
+  http::HttpCall call;
   call.method = "POST";
   call.url = this->UrlOf(stream);
   call.body = body.dump();
   call.deadline = deadline;
   this->client.Send(std::move(call),
-                    [callback = std::move(callback)](const HttpReply& reply) {
+                    [callback = std::move(callback)](const http::HttpReply& reply) {
                       callback(ParseAppend(reply));
                     });
 }
@@ -190,13 +190,13 @@
 void LogClient::Read(const ReadQuery& query,
                      Instant deadline,
                      ReadCallback callback) {
-  HttpCall call;
+  http::HttpCall call;
   call.url = this->UrlOf(query.stream) + "?from=" + std::to_string(query.from) +
              "&max=" + std::to_string(query.max) +
              "&wait_ms=" + std::to_string(query.wait_ms);
   call.deadline = deadline;
   this->client.Send(std::move(call), [query, callback = std::move(callback)](
-                                         const HttpReply& reply) {
+                                         const http::HttpReply& reply) {
     callback(ParseRead(reply, query));
   });
 }
--- a/packages/platform/log_client.h
+++ b/packages/platform/log_client.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "packages/core/store.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 
 namespace carobrill::platform {
 
@@ -15,7 +15,7 @@
  public:
   /// `url` is the base address of the service, without a slash at the end;
   /// `client` must outlive this object.
-  LogClient(HttpClient& client, std::string url);
+  LogClient(http::HttpClient& client, std::string url);
 
   /// Appends `records` in one batch.
   void Append(const std::string& stream,
@@ -29,7 +29,7 @@
  private:
   std::string UrlOf(const std::string& stream) const;
 
-  HttpClient& client;
+  http::HttpClient& client;
   std::string url;
 };
 
--- a/packages/platform/platform_reply.cc
+++ b/packages/platform/platform_reply.cc
@@ -16,19 +16,19 @@
 
 }  // namespace
 
-PlatformFailure FailureOf(const HttpReply& reply) {
+PlatformFailure FailureOf(const http::HttpReply& reply) {
   switch (reply.failure) {
-    case HttpFailure::kNone:
+    case http::HttpFailure::kNone:
       return reply.Ok() ? PlatformFailure::kNone
                         : FailureOfStatus(reply.status);
-    case HttpFailure::kInvalidUrl:
+    case http::HttpFailure::kInvalidUrl:
       return PlatformFailure::kNotSent;
-    case HttpFailure::kUnreachable:
+    case http::HttpFailure::kUnreachable:
       return reply.maybe_sent ? PlatformFailure::kUnreachable
                               : PlatformFailure::kNotSent;
-    case HttpFailure::kTimeout:
+    case http::HttpFailure::kTimeout:
       return PlatformFailure::kTimeout;
-    case HttpFailure::kTruncated:
+    case http::HttpFailure::kTruncated:
       return PlatformFailure::kMalformed;
   }
   return PlatformFailure::kFailed;
--- a/packages/platform/platform_reply.h
+++ b/packages/platform/platform_reply.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "packages/core/name_table.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::platform {
 
@@ -57,7 +57,7 @@
 using PlatformCallback = std::function<void(PlatformReply<T>)>;
 
 /// The failure that an HTTP reply stands for, whatever its body.
-PlatformFailure FailureOf(const HttpReply& reply);
+PlatformFailure FailureOf(const http::HttpReply& reply);
 
 /// `text` with all characters escaped that a path segment must not contain.
 std::string EscapePathSegment(const std::string& text);
--- a/packages/platform/worker_client.cc
+++ b/packages/platform/worker_client.cc
@@ -112,8 +112,8 @@
 }
 
 template <typename T, typename Parse>
-HttpClient::Callback Parsed(PlatformCallback<T> callback, Parse parse) {
-  return [callback = std::move(callback), parse](const HttpReply& reply) {
+http::HttpClient::Callback Parsed(PlatformCallback<T> callback, Parse parse) {
+  return [callback = std::move(callback), parse](const http::HttpReply& reply) {
     PlatformReply<T> result;
     result.failure = FailureOf(reply);
     if (result.Ok()) {
@@ -128,8 +128,8 @@
   };
 }
 
-HttpCall Post(std::string url, std::string body, Instant deadline) {
-  HttpCall call;
+http::HttpCall Post(std::string url, std::string body, Instant deadline) {
+  http::HttpCall call;
   call.method = "POST";
   call.url = std::move(url);
   call.body = std::move(body);
@@ -137,8 +137,8 @@
   return call;
 }
 
-HttpCall Get(std::string url, Instant deadline) {
-  HttpCall call;
+http::HttpCall Get(std::string url, Instant deadline) {
+  http::HttpCall call;
   call.url = std::move(url);
   call.deadline = deadline;
   return call;
@@ -146,7 +146,7 @@
 
 }  // namespace
 
-WorkerClient::WorkerClient(HttpClient& http, std::string url)
+WorkerClient::WorkerClient(http::HttpClient& http, std::string url)
     : http(http), url(std::move(url)) {}
 
 void WorkerClient::Describe(Instant deadline,
@@ -209,7 +209,7 @@
                   Parsed(std::move(callback), ParseList));
 }
 
-void WorkerClient::Send(HttpCall call, PlatformCallback<Done> callback) {
+void WorkerClient::Send(http::HttpCall call, PlatformCallback<Done> callback) {
   this->http.Send(std::move(call),
                   Parsed(std::move(callback), [](const std::string&) {
                     return std::optional<Done>(Done{});
@@ -223,7 +223,7 @@
                               std::string body,
                               Instant deadline,
                               PlatformCallback<Done> callback) {
-  HttpCall call =
+  http::HttpCall call =
       Post(this->url + "/v1/tasks/" + EscapePathSegment(task) + "/" + verb,
            std::move(body), deadline);
   call.idempotent = true;
--- a/packages/platform/worker_client.h
+++ b/packages/platform/worker_client.h
@@ -7,7 +7,7 @@
 
 #include "packages/core/name_table.h"
 #include "packages/core/time.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "packages/platform/platform_reply.h"
 
 namespace carobrill::platform {
@@ -67,7 +67,7 @@
 class WorkerClient {
  public:
   /// `url` is the worker's base URL; `http` must outlive the client.
-  WorkerClient(HttpClient& http, std::string url);
+  WorkerClient(http::HttpClient& http, std::string url);
 
   void Describe(Instant deadline, PlatformCallback<WorkerDescription> callback);
   void Start(const WorkerTaskSpec& spec,
@@ -93,14 +93,14 @@
             PlatformCallback<std::vector<WorkerTask>> callback);
 
  private:
-  void Send(HttpCall call, PlatformCallback<Done> callback);
+  void Send(http::HttpCall call, PlatformCallback<Done> callback);
   void PostToTask(const std::string& task,
                   const std::string& verb,
                   std::string body,
                   Instant deadline,
                   PlatformCallback<Done> callback);
 
-  HttpClient& http;
+  http::HttpClient& http;
   std::string url;
 };
 
--- a/packages/testing/fake_endpoint.cc
+++ b/packages/testing/fake_endpoint.cc
@@ -6,7 +6,7 @@
 namespace carobrill::testing {
 namespace {
 
-platform::HttpResponse Reply(int status, const nlohmann::json& body) {
+http::HttpResponse Reply(int status, const nlohmann::json& body) {
   return {status, body.dump(), "application/json", {}};
 }
 
@@ -22,14 +22,14 @@
                {"hang", false},
                {"leaving", false}}) {}
 
-void FakeEndpoint::Handle(const platform::HttpRequest& request,
-                          const platform::HttpResponder& respond) {
+void FakeEndpoint::Handle(const http::HttpRequest& request,
+                          const http::HttpResponder& respond) {
   this->task.Post(
       [this, request, respond] { this->HandleOnTask(request, respond); });
 }
 
-void FakeEndpoint::HandleOnTask(const platform::HttpRequest& request,
-                                const platform::HttpResponder& respond) {
+void FakeEndpoint::HandleOnTask(const http::HttpRequest& request,
+                                const http::HttpResponder& respond) {
   const Json body = Json::parse(request.body, nullptr, false);
   if (request.path == "/stats") {
     respond(Reply(200, this->Stats()));
--- a/packages/testing/fake_endpoint.h
+++ b/packages/testing/fake_endpoint.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::testing {
 
@@ -20,8 +20,8 @@
   explicit FakeEndpoint(std::int64_t slots);
 
   /// Handles one request; safe from any thread.
-  void Handle(const platform::HttpRequest& request,
-              const platform::HttpResponder& respond);
+  void Handle(const http::HttpRequest& request,
+              const http::HttpResponder& respond);
 
  private:
   using Json = nlohmann::json;
@@ -31,11 +31,11 @@
     std::string attempt;
     std::string payload;
     std::int64_t run_ms = 0;
-    platform::HttpResponder respond;
+    http::HttpResponder respond;
   };
 
-  void HandleOnTask(const platform::HttpRequest& request,
-                    const platform::HttpResponder& respond);
+  void HandleOnTask(const http::HttpRequest& request,
+                    const http::HttpResponder& respond);
   void RunNext();
   void Finish(const Attempt& attempt);
   void Send(const Attempt& attempt, const Attempt& content);
--- a/packages/testing/fake_log.cc
+++ b/packages/testing/fake_log.cc
@@ -11,9 +11,9 @@
 namespace {
 
 using Json = nlohmann::json;
-using platform::HttpRequest;
-using platform::HttpResponder;
-using platform::HttpResponse;
+using http::HttpRequest;
+using http::HttpResponder;
+using http::HttpResponse;
 
 constexpr std::string_view kPrefix = "/v1/streams/";
 constexpr std::string_view kSuffix = "/records";
--- a/packages/testing/fake_log.h
+++ b/packages/testing/fake_log.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 #include "packages/testing/log_store.h"
 
 namespace carobrill::testing {
@@ -35,33 +35,33 @@
   struct WaitingRead {
     ReadQuery query;
     Instant until;
-    platform::HttpResponder respond;
+    http::HttpResponder respond;
   };
 
-  void Handle(const platform::HttpRequest& request,
-              platform::HttpResponder respond);
-  void HandleStream(const platform::HttpRequest& request,
-                    const platform::HttpResponder& respond);
+  void Handle(const http::HttpRequest& request,
+              http::HttpResponder respond);
+  void HandleStream(const http::HttpRequest& request,
+                    const http::HttpResponder& respond);
   void Append(const std::string& stream,
-              const platform::HttpRequest& request,
-              const platform::HttpResponder& respond);
+              const http::HttpRequest& request,
+              const http::HttpResponder& respond);
   bool LosesAnswer();
   void AnswerOrWait(WaitingRead read);
   void AnswerWaiting();
-  platform::HttpResponse Control(const std::string& body);
+  http::HttpResponse Control(const std::string& body);
   void Switch(const nlohmann::json& json);
-  platform::HttpResponse Stats() const;
+  http::HttpResponse Stats() const;
   void After(std::int64_t delay_ms, Task::Message message);
 
   Task& task;
   LogStore store;
   std::vector<WaitingRead> waiting;
-  std::vector<platform::HttpResponder> never_answered;
+  std::vector<http::HttpResponder> never_answered;
   bool outage = false;
   std::int64_t delay_ms = 0;
   std::uint64_t answers_to_lose = 0;
   std::shared_ptr<int> alive = std::make_shared<int>(0);
-  std::optional<platform::HttpServer> server;
+  std::optional<http::HttpServer> server;
 };
 
 }  // namespace carobrill::testing
--- a/packages/testing/fake_program.cc
+++ b/packages/testing/fake_program.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 
 namespace carobrill::testing {
 namespace {
@@ -45,9 +45,9 @@
   return options;
 }
 
-int ServeFake(const FakeOptions& options, platform::HttpHandler handler) {
+int ServeFake(const FakeOptions& options, http::HttpHandler handler) {
   Task task("server");
-  platform::HttpServer server(task, std::move(handler));
+  http::HttpServer server(task, std::move(handler));
   const auto port = server.Listen(options.address, options.port);
   if (!port.has_value()) {
     std::fprintf(stderr, "cannot listen on port %d\n", options.port);
--- a/packages/testing/fake_program.h
+++ b/packages/testing/fake_program.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::testing {
 
@@ -25,7 +25,7 @@
 
 /// Serves `handler`, prints "listening on PORT" and waits for SIGTERM or
 /// SIGINT. Returns the exit code.
-int ServeFake(const FakeOptions& options, platform::HttpHandler handler);
+int ServeFake(const FakeOptions& options, http::HttpHandler handler);
 
 }  // namespace carobrill::testing
 
--- a/packages/testing/fake_worker.cc
+++ b/packages/testing/fake_worker.cc
@@ -8,7 +8,7 @@
 constexpr std::int64_t kTickMs = 10;
 constexpr std::int64_t kForgetMs = 60'000;
 
-platform::HttpResponse Reply(int status, const nlohmann::json& body) {
+http::HttpResponse Reply(int status, const nlohmann::json& body) {
   return {status, body.dump(), "application/json", {}};
 }
 
@@ -27,8 +27,8 @@
   this->task.PostEvery(kTickMs, [this] { this->Tick(); });
 }
 
-void FakeWorker::Handle(const platform::HttpRequest& request,
-                        const platform::HttpResponder& respond) {
+void FakeWorker::Handle(const http::HttpRequest& request,
+                        const http::HttpResponder& respond) {
   this->task.Post([this, request, respond] {
     const bool own = request.path == "/control" || request.path == "/stats";
     if (own) {
@@ -41,16 +41,16 @@
   });
 }
 
-void FakeWorker::HandleNow(const platform::HttpRequest& request,
-                           const platform::HttpResponder& respond) {
+void FakeWorker::HandleNow(const http::HttpRequest& request,
+                           const http::HttpResponder& respond) {
   const auto delay_ms = this->control["delay_ms"].get<std::int64_t>();
   auto response = this->Answer(request);
   this->task.PostAt(BootClock{}.Now().After(delay_ms),
                     [respond, response] { respond(response); });
 }
 
-platform::HttpResponse FakeWorker::Answer(
-    const platform::HttpRequest& request) {
+http::HttpResponse FakeWorker::Answer(
+    const http::HttpRequest& request) {
   this->Tick();
   const Json body = Json::parse(request.body, nullptr, false);
   const bool post = request.method == "POST";
@@ -72,7 +72,7 @@
   return this->ToTask(request.path, body);
 }
 
-platform::HttpResponse FakeWorker::Start(const Json& body) {
+http::HttpResponse FakeWorker::Start(const Json& body) {
   if (!body.is_object() || !body.contains("task")) {
     return Reply(400, {});
   }
@@ -103,7 +103,7 @@
   return Reply(201, {});
 }
 
-platform::HttpResponse FakeWorker::ToTask(const std::string& path,
+http::HttpResponse FakeWorker::ToTask(const std::string& path,
                                           const Json& body) {
   const auto slash = path.rfind('/');
   const std::string prefix = "/v1/tasks/";
@@ -138,7 +138,7 @@
 }
 
 // A hung worker that goes on handles what it received in the meantime.
-platform::HttpResponse FakeWorker::Control(const Json& body) {
+http::HttpResponse FakeWorker::Control(const Json& body) {
   if (!body.is_object()) {
     return Reply(400, {});
   }
--- a/packages/testing/fake_worker.h
+++ b/packages/testing/fake_worker.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_types.h"
+#include "packages/http/http_types.h"
 
 namespace carobrill::testing {
 
@@ -29,8 +29,8 @@
   explicit FakeWorker(FakeWorkerSize size);
 
   /// Handles one request; safe from any thread.
-  void Handle(const platform::HttpRequest& request,
-              const platform::HttpResponder& respond);
+  void Handle(const http::HttpRequest& request,
+              const http::HttpResponder& respond);
 
  private:
   using Json = nlohmann::json;
@@ -50,12 +50,12 @@
     Instant sampled_at;
   };
 
-  void HandleNow(const platform::HttpRequest& request,
-                 const platform::HttpResponder& respond);
-  platform::HttpResponse Answer(const platform::HttpRequest& request);
-  platform::HttpResponse Start(const Json& body);
-  platform::HttpResponse ToTask(const std::string& path, const Json& body);
-  platform::HttpResponse Control(const Json& body);
+  void HandleNow(const http::HttpRequest& request,
+                 const http::HttpResponder& respond);
+  http::HttpResponse Answer(const http::HttpRequest& request);
+  http::HttpResponse Start(const Json& body);
+  http::HttpResponse ToTask(const std::string& path, const Json& body);
+  http::HttpResponse Control(const Json& body);
   Json List();
   Json Stats() const;
   void Tick();
@@ -73,7 +73,7 @@
   std::int64_t peak_memory_mb = 0;
   /// Most tasks at a time on one accelerator.
   std::int64_t peak_sharing = 0;
-  std::vector<std::pair<platform::HttpRequest, platform::HttpResponder>> held;
+  std::vector<std::pair<http::HttpRequest, http::HttpResponder>> held;
   Instant ticked_at;
   Task task{"worker"};
 };
--- a/packages/testing/main_carobrill_load.cc
+++ b/packages/testing/main_carobrill_load.cc
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "packages/core/task.h"
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "packages/testing/load_plan.h"
 #include "packages/testing/load_report.h"
 
@@ -173,7 +173,7 @@
 /// One HTTP client with a thread of its own.
 struct LoadClient {
   Task task{"load"};
-  platform::HttpClient client{this->task};
+  http::HttpClient client{this->task};
   std::size_t in_flight = 0;
 };
 
@@ -210,7 +210,7 @@
   std::uint64_t Unanswered() const { return this->unanswered; }
 
  private:
-  platform::HttpCall CallOf(const PlannedRequest& request) const {
+  http::HttpCall CallOf(const PlannedRequest& request) const {
     json body = {
         {"account", this->settings.account},
         {"class", kLoadClasses.at(request.class_index)},
@@ -221,7 +221,7 @@
          request.is_long ? this->settings.long_run_ms : this->settings.run_ms},
         {"first_attempt", true},
         {"payload", request.name}};
-    platform::HttpCall call;
+    http::HttpCall call;
     call.method = "POST";
     call.url = this->settings.urls[request.url_index] + "/v1/services/" +
                this->settings.service + "/requests";
@@ -270,7 +270,7 @@
 
   void Take(LoadClient& client,
             const DueRequest& due,
-            const platform::HttpReply& reply) {
+            const http::HttpReply& reply) {
     const std::chrono::duration<double, std::milli> latency =
         Clock::now() - due.due;
     LoadOutcome outcome;
@@ -298,9 +298,9 @@
                                                      : std::string();
   }
 
-  void Describe(const platform::HttpReply& reply, LoadOutcome& outcome) {
+  void Describe(const http::HttpReply& reply, LoadOutcome& outcome) {
     outcome.ran = "unanswered";
-    if (reply.failure != platform::HttpFailure::kNone) {
+    if (reply.failure != http::HttpFailure::kNone) {
       outcome.error = NameOf(reply.failure);
       return;
     }
--- /dev/null
+++ b/packages/workload/job_planner.cc
@@ -0,0 +1,348 @@
+#include "packages/workload/job_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "packages/workload/job_objective.h"
+
+namespace carobrill::workload {
+namespace {
+
+/// Share of a task's estimate, in percent, that must pass without progress
+/// before it counts as stalled: slow workers move by less than a percent.
+constexpr std::int64_t kStallPercentOfEstimate = 30;
+
+/// Calls `visit(key, task)` for every task of the job that holds room.
+template <typename Visit>
+void ForEachHeld(Job& job, Visit&& visit) {
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    auto& steps = job.occurrences[k].steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+        if (steps[s].tasks[i].Occupies()) {
+          visit(TaskKey{job.submission.id, k, s, i}, steps[s].tasks[i]);
+        }
+      }
+    }
+  }
+}
+
+std::int64_t AcceleratorsOf(const Job& job) {
+  std::int64_t most = 0;
+  for (const StepSpec& step : job.submission.spec.steps) {
+    most = std::max<std::int64_t>(most, step.tasks * step.demand.accelerators);
+  }
+  return most;
+}
+
+}  // namespace
+
+JobPlanner::JobPlanner(JobPlannerSettings settings)
+    : settings(std::move(settings)) {}
+
+void JobPlanner::Load(Job job) {
+  const JobId id = job.submission.id;
+  this->jobs.insert_or_assign(id, std::move(job));
+}
+
+void JobPlanner::Submit(Submission submission) {
+  const JobId id = submission.id;
+  if (!this->jobs.contains(id)) {
+    this->jobs.emplace(id, Job::Of(std::move(submission)));
+  }
+}
+
+void JobPlanner::Cancel(const JobId& id, const TransitionTime& time) {
+  const auto job = this->jobs.find(id);
+  if (job != this->jobs.end() && RequestCancel(job->second, time)) {
+    this->changed.insert(id);
+    this->Note(PlannerEventKind::kJobEnded, {id, 0, 0, 0}, 0, {},
+               std::string(NameOf(job->second.phase)));
+  }
+}
+
+void JobPlanner::SetGuarantees(std::map<AccountId, std::int64_t> guarantees) {
+  this->guarantees = std::move(guarantees);
+}
+
+void JobPlanner::ObserveWorker(const InstanceId& agent,
+                               const WorkerDescription& description,
+                               Instant lease_ends,
+                               const TransitionTime& time) {
+  Worker& worker = this->workers[agent];
+  worker.agent = agent;
+  if (worker.description.life != description.life) {
+    worker.failures_in_a_row = 0;
+    worker.avoid_until = time.now;
+  }
+  worker.description = description;
+  worker.reachable = true;
+  worker.lease_ends = lease_ends;
+}
+
+void JobPlanner::ObserveUnreachable(const InstanceId& agent) {
+  const auto worker = this->workers.find(agent);
+  if (worker != this->workers.end()) {
+    worker->second.reachable = false;
+  }
+}
+
+void JobPlanner::ExpectWorker(const InstanceId& agent, Instant lease_ends) {
+  Worker& worker = this->workers[agent];
+  if (worker.agent.empty()) {
+    worker.agent = agent;
+    worker.lease_ends = lease_ends;
+  }
+}
+
+void JobPlanner::ForgetWorker(const InstanceId& agent) {
+  this->workers.erase(agent);
+}
+
+void JobPlanner::ObserveRunning(const InstanceId& agent,
+                                const std::vector<RunningTask>& running,
+                                Instant now) {
+  for (const RunningTask& seen : running) {
+    const auto job = this->jobs.find(seen.task.job);
+    TaskState* task =
+        job == this->jobs.end() ? nullptr : job->second.Find(seen.task);
+    if (task == nullptr || !task->Occupies() || task->run != seen.run ||
+        task->worker.agent != agent) {
+      continue;
+    }
+    if (task->phase == TaskPhase::kStarting) {
+      task->phase = TaskPhase::kRunning;
+      task->progress_at = now;
+      this->changed.insert(seen.task.job);
+      if (job->second.phase == JobPhase::kQueued) {
+        job->second.phase = JobPhase::kRunning;
+      }
+    }
+    if (seen.percent != task->percent) {
+      task->percent = seen.percent;
+      task->progress_at = now;
+    }
+    task->usage = seen.usage;
+    if (seen.checkpoint != task->checkpoint) {
+      KeepCheckpoint(job->second, seen.task, seen.checkpoint);
+    }
+  }
+}
+
+void JobPlanner::ObserveEnd(const InstanceId& agent,
+                            const RunReport& report,
+                            const TransitionTime& time) {
+  const auto job = this->jobs.find(report.task.job);
+  if (job == this->jobs.end()) {
+    return;
+  }
+  const TaskState* task = job->second.Find(report.task);
+  if (task == nullptr || task->worker.agent != agent) {
+    return;
+  }
+  const WorkerLife life = task->worker;
+  this->ApplyEnd(job->second, life, report, PlannerEventKind::kRunEnded, time);
+}
+
+void JobPlanner::ApplyEnd(Job& job,
+                          const WorkerLife& life,
+                          const RunReport& report,
+                          PlannerEventKind kind,
+                          const TransitionTime& time) {
+  const TaskState* task = job.Find(report.task);
+  const Instant ordered_at = task == nullptr ? time.now : task->ordered_at;
+  const bool was_final = IsFinal(job.phase);
+  if (!ApplyRunEnd(job, life, report, time)) {
+    return;
+  }
+  this->changed.insert(job.submission.id);
+  this->Note(kind, report.task, report.run, life.id,
+             std::string(NameOf(report.end)), time.now.ms - ordered_at.ms);
+  const auto worker = this->workers.find(life.agent);
+  if (worker != this->workers.end()) {
+    this->NoteOutcome(worker->second, report, job, time.now);
+  }
+  if (!was_final && IsFinal(job.phase)) {
+    this->Note(PlannerEventKind::kJobEnded, report.task, report.run, life.id,
+               std::string(NameOf(job.phase)),
+               time.wall.ms - job.submission.accepted_at.ms);
+  }
+}
+
+// A job that fails on several workers is itself at fault, so only its first
+// failure counts against the worker.
+void JobPlanner::NoteOutcome(Worker& worker,
+                             const RunReport& report,
+                             const Job& job,
+                             Instant now) {
+  if (report.end == RunEnd::kDone) {
+    worker.failures_in_a_row = 0;
+    return;
+  }
+  if (report.end == RunEnd::kRefused) {
+    worker.refused_until = now.After(this->settings.refused_ms);
+    return;
+  }
+  const auto& step =
+      job.occurrences[report.task.occurrence].steps[report.task.step];
+  const std::uint32_t failures =
+      std::max(step.gang_failures, step.tasks[report.task.index].failures);
+  if (report.end != RunEnd::kFailed || failures > 1) {
+    return;
+  }
+  ++worker.failures_in_a_row;
+  if (worker.failures_in_a_row >= this->settings.failures_to_avoid) {
+    worker.avoid_until = now.After(this->settings.avoid_ms);
+    this->Note(PlannerEventKind::kWorkerAvoided, report.task, report.run,
+               worker.description.life.id, "failures in a row",
+               this->settings.avoid_ms);
+  }
+}
+
+void JobPlanner::SetUnknownWorkersLostAt(Instant deadline) {
+  this->unknown_lost_at = deadline;
+}
+
+void JobPlanner::EndLostRuns(const TransitionTime& time) {
+  for (auto& [id, job] : this->jobs) {
+    std::vector<std::pair<WorkerLife, RunReport>> lost;
+    ForEachHeld(job, [&](const TaskKey& key, const TaskState& task) {
+      const auto found = this->workers.find(task.worker.agent);
+      const bool known = found != this->workers.end();
+      const bool another_life =
+          known && found->second.reachable &&
+          !found->second.description.life.id.empty() &&
+          found->second.description.life != task.worker;
+      const bool expired =
+          known ? !found->second.reachable &&
+                      time.now >= found->second.lease_ends
+                : time.now >= this->unknown_lost_at;
+      if (another_life || expired) {
+        lost.emplace_back(task.worker,
+                          RunReport{key, task.run, RunEnd::kWorkerLost, {}});
+      }
+    });
+    for (const auto& [life, report] : lost) {
+      this->ApplyEnd(job, life, report, PlannerEventKind::kRunLost, time);
+    }
+  }
+}
+
+void JobPlanner::RestartStalled(Instant now) {
+  for (auto& [id, job] : this->jobs) {
+    ForEachHeld(job, [&, &job = job](const TaskKey& key, TaskState& task) {
+      const StepSpec& spec = job.SpecOf(key);
+      const std::int64_t limit =
+          std::max(this->settings.stall_ms,
+                   spec.estimate_ms * kStallPercentOfEstimate / 100);
+      const auto worker = this->workers.find(task.worker.agent);
+      if (task.phase != TaskPhase::kRunning || spec.long_running ||
+          now < task.progress_at.After(limit) ||
+          worker == this->workers.end() || !worker->second.reachable) {
+        return;
+      }
+      this->Note(PlannerEventKind::kStalled, key, task.run, task.worker.id,
+                 std::to_string(task.percent) + " percent",
+                 now.ms - task.progress_at.ms);
+      task.phase = TaskPhase::kStopping;
+      worker->second.avoid_until = now.After(this->settings.avoid_ms);
+      this->changed.insert(key.job);
+    });
+  }
+}
+
+void JobPlanner::Plan(const TransitionTime& time) {
+  this->EndLostRuns(time);
+  this->RestartStalled(time.now);
+  this->guaranteed_jobs = this->GuaranteedJobs();
+  auto waiting = this->CollectWaiting(time);
+  std::ranges::stable_sort(waiting, [](const Waiting& a, const Waiting& b) {
+    return std::pair(a.rank, a.slack_ms) < std::pair(b.rank, b.slack_ms);
+  });
+  RoomMap map(this->workers, this->jobs, time.now);
+  for (Waiting& unit : waiting) {
+    this->Serve(unit, map, time);
+  }
+}
+
+// Jobs of priority 0 count against their account's guarantee in the order of
+// their acceptance; what exceeds it is served like other work of priority 0.
+std::set<JobId> JobPlanner::GuaranteedJobs() const {
+  std::vector<const Job*> urgent;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.submission.priority == 0 && !IsFinal(job.phase)) {
+      urgent.push_back(&job);
+    }
+  }
+  std::ranges::stable_sort(urgent, {}, [](const Job* job) {
+    return job->submission.accepted_at;
+  });
+  std::map<AccountId, std::int64_t> left = this->guarantees;
+  std::set<JobId> result;
+  for (const Job* job : urgent) {
+    const std::int64_t need = AcceleratorsOf(*job);
+    std::int64_t& room = left[job->submission.account];
+    if (need <= room) {
+      room -= need;
+      result.insert(job->submission.id);
+    }
+  }
+  return result;
+}
+
+std::set<JobId> JobPlanner::TakeChanges() {
+  ++this->next_commit;
+  return std::exchange(this->changed, {});
+}
+
+std::vector<JobId> JobPlanner::TakeExpired(Instant wall) {
+  std::vector<JobId> expired;
+  for (const auto& [id, job] : this->jobs) {
+    if (IsFinal(job.phase) && !job.AnyOccupies() &&
+        wall >= job.ended_at.After(this->settings.retention_ms)) {
+      expired.push_back(id);
+    }
+  }
+  for (const JobId& id : expired) {
+    this->jobs.erase(id);
+    this->changed.erase(id);
+  }
+  return expired;
+}
+
+std::map<InstanceId, std::vector<TaskOrder>> JobPlanner::Orders(
+    std::uint64_t committed) const {
+  std::map<InstanceId, std::vector<TaskOrder>> orders;
+  for (const auto& [id, job] : this->jobs) {
+    ForEachHeld(const_cast<Job&>(job),
+                [&, &job = job](const TaskKey& key, const TaskState& task) {
+                  if (task.commit > committed) {
+                    return;
+                  }
+                  TaskOrder order{key, task.run, false, true, {}, {}};
+                  order.stop = task.phase == TaskPhase::kStopping;
+                  order.started = task.phase != TaskPhase::kStarting;
+                  if (!order.started) {
+                    order.payload = job.submission.spec.payload;
+                    order.checkpoint = task.checkpoint;
+                  }
+                  orders[task.worker.agent].push_back(std::move(order));
+                });
+  }
+  return orders;
+}
+
+std::vector<PlannerEvent> JobPlanner::TakeEvents() {
+  return std::exchange(this->events, {});
+}
+
+void JobPlanner::Note(PlannerEventKind kind,
+                      const TaskKey& task,
+                      std::uint32_t run,
+                      const WorkerId& worker,
+                      std::string detail,
+                      std::int64_t age_ms) {
+  this->events.push_back({kind, task, run, worker, std::move(detail), age_ms});
+}
+
+}  // namespace carobrill::workload
--- /dev/null
+++ b/packages/workload/job_planner_serve.cc
@@ -0,0 +1,307 @@
+// Chooses which waiting tasks run next, and where.
+
+#include <algorithm>
+#include <utility>
+
+#include "packages/workload/job_objective.h"
+#include "packages/workload/job_planner.h"
+
+namespace carobrill::workload {
+namespace {
+
+/// Ranks of one priority: guaranteed or on time, late, too late.
+constexpr std::int64_t kRanksPerPriority = 4;
+
+/// Part of the lost work that counts when a task keeps a checkpoint.
+constexpr double kCheckpointedCost = 0.1;
+
+/// Cores that one accelerator counts as, in prices of wasted work.
+constexpr double kCoresPerAccelerator = 8;
+
+/// Highest priority number whose work is never worth protecting further.
+constexpr std::uint32_t kLowestPriority = 4;
+
+double CoresOf(const Resources& demand) {
+  return static_cast<double>(demand.cpu_millis) / 1000 +
+         kCoresPerAccelerator * static_cast<double>(demand.accelerators);
+}
+
+bool HasNotBegun(const Job& job) {
+  return job.phase == JobPhase::kQueued;
+}
+
+}  // namespace
+
+std::vector<JobPlanner::Waiting> JobPlanner::CollectWaiting(
+    const TransitionTime& time) {
+  std::vector<Waiting> waiting;
+  for (auto& [id, job] : this->jobs) {
+    if (IsFinal(job.phase)) {
+      continue;
+    }
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+      if (time.wall < job.DueAt(k)) {
+        break;
+      }
+      for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+        if (!job.occurrences[k].steps[s].Done() && job.StepReady(k, s)) {
+          this->CollectStep(job, k, s, time, waiting);
+        }
+      }
+    }
+  }
+  std::map<TaskKey, Instant> since;
+  for (const Waiting& entry : waiting) {
+    const TaskKey key{entry.unit.submission->id, entry.unit.occurrence,
+                      entry.unit.step, entry.unit.tasks.front()};
+    since.emplace(key, entry.since);
+  }
+  this->waiting_since = std::move(since);
+  return waiting;
+}
+
+void JobPlanner::CollectStep(Job& job,
+                             std::uint32_t occurrence,
+                             std::uint32_t step,
+                             const TransitionTime& time,
+                             std::vector<Waiting>& waiting) {
+  const StepState& state = job.occurrences[occurrence].steps[step];
+  PlacementUnit unit{&job.submission, occurrence, step, {}, {}};
+  for (const TaskState& task : state.tasks) {
+    if (task.Occupies()) {
+      ++unit.held[task.worker];
+    }
+  }
+  const bool gang = job.submission.spec.steps[step].gang;
+  for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+    const TaskState& task = state.tasks[i];
+    const bool ready =
+        task.phase == TaskPhase::kWaiting && time.now >= task.not_before;
+    if (!ready) {
+      if (gang) {
+        return;
+      }
+      continue;
+    }
+    unit.tasks.push_back(i);
+    if (!gang) {
+      this->AddWaiting(job, unit, time, waiting);
+      unit.tasks.clear();
+    }
+  }
+  if (gang) {
+    this->AddWaiting(job, unit, time, waiting);
+  }
+}
+
+void JobPlanner::AddWaiting(const Job& job,
+                            PlacementUnit unit,
+                            const TransitionTime& time,
+                            std::vector<Waiting>& waiting) {
+  Waiting entry;
+  const std::uint32_t occurrence = unit.occurrence;
+  const TaskKey key{job.submission.id, occurrence, unit.step,
+                    unit.tasks.front()};
+  const auto known = this->waiting_since.find(key);
+  entry.since =
+      known == this->waiting_since.end() ? time.now : known->second;
+  entry.guaranteed = this->guaranteed_jobs.contains(job.submission.id);
+  entry.rank = job.submission.priority * kRanksPerPriority;
+  const Prospect prospect = ProspectOf(job, occurrence, time.wall);
+  if (!(entry.guaranteed && HasNotBegun(job))) {
+    entry.rank += 1 + static_cast<std::int64_t>(prospect);
+  }
+  entry.slack_ms = ObjectiveOf(job, occurrence).ms - time.wall.ms -
+                   RemainingMs(job, occurrence);
+  entry.unit = std::move(unit);
+  waiting.push_back(std::move(entry));
+}
+
+void JobPlanner::Serve(Waiting& waiting,
+                       RoomMap& map,
+                       const TransitionTime& time) {
+  const Submission& submission = *waiting.unit.submission;
+  const bool urgent = submission.priority == 0;
+  const std::int64_t patience = urgent ? this->settings.urgent_rack_patience_ms
+                                       : this->settings.rack_patience_ms;
+  const bool any_rack = time.now >= waiting.since.After(patience);
+  const PlacementRules near{RoomKind::kFree, false, false};
+  const PlacementRules near_soon{RoomKind::kSoon, false, false};
+  if (this->TryPlace(waiting, map, near, time.now) ||
+      this->TryWait(waiting, map, near_soon)) {
+    return;
+  }
+  const Job& job = this->jobs.at(submission.id);
+  const bool worth_stopping =
+      urgent &&
+      (waiting.guaranteed ||
+       ProspectOf(job, waiting.unit.occurrence, time.wall) !=
+           Prospect::kTooLate);
+  if (worth_stopping && this->TryPreempt(waiting, map, near_soon, time)) {
+    return;
+  }
+  for (const bool rack : {false, true}) {
+    if (rack && !any_rack) {
+      return;
+    }
+    const PlacementRules free{RoomKind::kFree, rack, true};
+    const PlacementRules soon{RoomKind::kSoon, rack, true};
+    if (this->TryPlace(waiting, map, free, time.now) ||
+        this->TryWait(waiting, map, soon) ||
+        (worth_stopping && this->TryPreempt(waiting, map, soon, time))) {
+      return;
+    }
+  }
+}
+
+bool JobPlanner::TryPlace(const Waiting& waiting,
+                          RoomMap& map,
+                          const PlacementRules& rules,
+                          Instant now) {
+  const auto workers = Place(waiting.unit, map, rules);
+  if (!workers.has_value()) {
+    return false;
+  }
+  this->Assign(waiting.unit, *workers, map, now);
+  for (const std::size_t worker : *workers) {
+    map.Take(worker, waiting.unit.Spec().Room());
+  }
+  return true;
+}
+
+bool JobPlanner::TryWait(const Waiting& waiting,
+                         RoomMap& map,
+                         const PlacementRules& rules) {
+  const auto workers = Place(waiting.unit, map, rules);
+  if (!workers.has_value()) {
+    return false;
+  }
+  for (const std::size_t worker : *workers) {
+    map.Take(worker, waiting.unit.Spec().Room());
+  }
+  return true;
+}
+
+bool JobPlanner::TryPreempt(const Waiting& waiting,
+                            RoomMap& map,
+                            const PlacementRules& rules,
+                            const TransitionTime& time) {
+  const auto victims = this->VictimsFor(waiting, map, time.now);
+  const auto plan = PlanPreemption(waiting.unit, map, rules, victims);
+  if (!plan.has_value()) {
+    return false;
+  }
+  for (const std::size_t victim : plan->victims) {
+    this->StopVictim(victims[victim], map);
+  }
+  for (const std::size_t worker : plan->workers) {
+    map.Take(worker, waiting.unit.Spec().Room());
+  }
+  return true;
+}
+
+bool JobPlanner::MayStop(const Waiting& waiting, const Job& job) const {
+  const std::uint32_t priority = waiting.unit.submission->priority;
+  if (job.submission.priority > priority) {
+    return true;
+  }
+  return waiting.guaranteed && job.submission.priority == priority &&
+         !this->guaranteed_jobs.contains(job.submission.id);
+}
+
+std::vector<Victim> JobPlanner::VictimsFor(const Waiting& waiting,
+                                           const RoomMap& map,
+                                           Instant now) const {
+  std::vector<Victim> victims;
+  for (const auto& [id, job] : this->jobs) {
+    if (!this->MayStop(waiting, job)) {
+      continue;
+    }
+    const double weight =
+        1 + kLowestPriority - std::min(job.submission.priority, kLowestPriority);
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+      const auto& steps = job.occurrences[k].steps;
+      for (std::uint32_t s = 0; s < steps.size(); ++s) {
+        const StepSpec& spec = job.submission.spec.steps[s];
+        const auto away = std::ranges::count_if(
+            steps[s].tasks, [](const TaskState& task) {
+              return task.phase != TaskPhase::kRunning;
+            });
+        if (spec.long_running && spec.max_unavailable > 0 &&
+            away >= spec.max_unavailable) {
+          continue;
+        }
+        Victim victim;
+        for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+          const TaskState& task = steps[s].tasks[i];
+          const std::size_t* worker =
+              task.Occupies() && task.phase != TaskPhase::kStopping
+                  ? map.IndexOf(task.worker)
+                  : nullptr;
+          if (worker == nullptr) {
+            continue;
+          }
+          victim.tasks.push_back({id, k, s, i});
+          victim.room.emplace_back(*worker, spec.Room());
+          const double elapsed_s =
+              static_cast<double>(now.ms - task.ordered_at.ms) / 1000;
+          victim.cost += weight * (1 + CoresOf(spec.demand) * elapsed_s *
+                                           (spec.checkpointable
+                                                ? kCheckpointedCost
+                                                : 1));
+          if (!spec.gang) {
+            victims.push_back(std::exchange(victim, {}));
+          }
+        }
+        if (!victim.tasks.empty()) {
+          victims.push_back(std::move(victim));
+        }
+      }
+    }
+  }
+  return victims;
+}
+
+void JobPlanner::StopVictim(const Victim& victim, RoomMap& map) {
+  for (std::size_t i = 0; i < victim.tasks.size(); ++i) {
+    const TaskKey& key = victim.tasks[i];
+    TaskState* task = this->jobs.at(key.job).Find(key);
+    task->phase = TaskPhase::kStopping;
+    map.Release(victim.room[i].first, victim.room[i].second);
+    this->changed.insert(key.job);
+    this->Note(PlannerEventKind::kPreempted, key, task->run, task->worker.id,
+               "room for work of a higher priority");
+  }
+}
+
+void JobPlanner::Assign(const PlacementUnit& unit,
+                        const std::vector<std::size_t>& workers,
+                        const RoomMap& map,
+                        Instant now) {
+  Job& job = this->jobs.at(unit.submission->id);
+  auto& tasks = job.occurrences[unit.occurrence].steps[unit.step].tasks;
+  std::uint32_t run = 0;
+  for (const std::uint32_t index : unit.tasks) {
+    run = std::max(run, tasks[index].run + 1);
+  }
+  for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
+    TaskState& task = tasks[unit.tasks[i]];
+    task.phase = TaskPhase::kStarting;
+    task.run = run;
+    task.worker = map.Rooms()[workers[i]].worker->description.life;
+    task.commit = this->next_commit;
+    task.percent = 0;
+    task.ordered_at = now;
+    task.progress_at = now;
+    const TaskKey key{unit.submission->id, unit.occurrence, unit.step,
+                      unit.tasks[i]};
+    const auto since = this->waiting_since.find(key);
+    this->Note(PlannerEventKind::kAssigned, key, run, task.worker.id,
+               unit.Spec().gang ? "gang" : "task",
+               since == this->waiting_since.end() ? 0
+                                                  : now.ms - since->second.ms);
+  }
+  this->changed.insert(unit.submission->id);
+}
+
+}  // namespace carobrill::workload
--- /dev/null
+++ b/packages/workload/job_transitions.cc
@@ -0,0 +1,132 @@
+#include "packages/workload/job_transitions.h"
+
+#include <algorithm>
+
+namespace carobrill::workload {
+namespace {
+
+/// Pause before a failed task runs again, per failure so far.
+constexpr std::int64_t kRetryDelayMs = 100;
+
+/// Pause after a worker refused an order, so that its next report can show why.
+constexpr std::int64_t kRefusalDelayMs = 150;
+
+void MarkStopping(StepState& step) {
+  for (TaskState& task : step.tasks) {
+    if (task.Occupies()) {
+      task.phase = TaskPhase::kStopping;
+    }
+  }
+}
+
+void Complete(StepState& step, TaskState& task, bool gang) {
+  task.phase = TaskPhase::kDone;
+  if (!gang) {
+    return;
+  }
+  // One member's end as done stands for the whole gang.
+  for (TaskState& member : step.tasks) {
+    member.phase = TaskPhase::kDone;
+  }
+}
+
+/// Counts a failed run. Returns the number of failed runs that limits retries.
+std::uint32_t CountFailure(StepState& step, TaskState& task, bool gang) {
+  ++task.failures;
+  if (!gang) {
+    return task.failures;
+  }
+  // Two members of one run may both report a failure; the gang failed once.
+  const std::uint32_t most =
+      std::ranges::max(step.tasks, {}, &TaskState::failures).failures;
+  step.gang_failures = std::max(step.gang_failures + 1, most);
+  return step.gang_failures;
+}
+
+void Finish(Job& job, JobPhase phase, const TransitionTime& time) {
+  job.phase = phase;
+  job.ended_at = time.wall;
+  StopAll(job);
+}
+
+bool AllDone(const Job& job) {
+  return std::ranges::all_of(
+      job.occurrences,
+      [](const Occurrence& occurrence) { return occurrence.Done(); });
+}
+
+}  // namespace
+
+void StopAll(Job& job) {
+  for (Occurrence& occurrence : job.occurrences) {
+    for (StepState& step : occurrence.steps) {
+      MarkStopping(step);
+    }
+  }
+}
+
+void KeepCheckpoint(Job& job,
+                    const TaskKey& task,
+                    const std::string& checkpoint) {
+  if (checkpoint.empty()) {
+    return;
+  }
+  StepState& step = job.occurrences[task.occurrence].steps[task.step];
+  if (!job.SpecOf(task).gang) {
+    step.tasks[task.index].checkpoint = checkpoint;
+    return;
+  }
+  for (TaskState& member : step.tasks) {
+    member.checkpoint = checkpoint;
+  }
+}
+
+bool ApplyRunEnd(Job& job,
+                 const WorkerLife& worker,
+                 const RunReport& report,
+                 const TransitionTime& time) {
+  TaskState* task = job.Find(report.task);
+  if (task == nullptr || task->run != report.run || !task->Occupies() ||
+      task->worker != worker) {
+    return false;
+  }
+  const StepSpec& spec = job.SpecOf(report.task);
+  StepState& step =
+      job.occurrences[report.task.occurrence].steps[report.task.step];
+  KeepCheckpoint(job, report.task, report.checkpoint);
+  if (report.end == RunEnd::kDone && !spec.long_running) {
+    Complete(step, *task, spec.gang);
+    if (!IsFinal(job.phase) && AllDone(job)) {
+      Finish(job, JobPhase::kCompleted, time);
+    }
+    return true;
+  }
+  task->phase = TaskPhase::kWaiting;
+  task->percent = 0;
+  if (report.end == RunEnd::kRefused) {
+    task->not_before = time.now.After(kRefusalDelayMs);
+  }
+  if (spec.gang) {
+    MarkStopping(step);
+  }
+  if (report.end != RunEnd::kFailed || spec.long_running) {
+    return true;
+  }
+  const std::uint32_t failures = CountFailure(step, *task, spec.gang);
+  task->not_before = time.now.After(kRetryDelayMs * (failures - 1));
+  if (failures >= job.submission.max_attempts && !IsFinal(job.phase)) {
+    Finish(job, JobPhase::kFailed, time);
+  }
+  return true;
+}
+
+bool RequestCancel(Job& job, const TransitionTime& time) {
+  if (IsFinal(job.phase)) {
+    return false;
+  }
+  job.cancel_requested = true;
+  Finish(job, JobPhase::kCancelled, time);
+  return true;
+}
+
+}  // namespace carobrill::workload
--- /dev/null
+++ b/packages/workload/placement.h
@@ -0,0 +1,57 @@
+#ifndef PACKAGES_WORKLOAD_PLACEMENT_H_
+#define PACKAGES_WORKLOAD_PLACEMENT_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "packages/workload/job.h"
+#include "packages/workload/room_map.h"
+
+namespace carobrill::workload {
+
+/// Tasks of one step that are placed together: a whole gang, or one task.
+struct PlacementUnit {
+  const Submission* submission = nullptr;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  /// Indexes of the tasks within the step.
+  std::vector<std::uint32_t> tasks;
+  /// Tasks of the same step that each worker holds already.
+  std::map<WorkerLife, std::uint32_t> held;
+
+  const StepSpec& Spec() const { return this->submission->spec.steps[step]; }
+};
+
+/// Which room a placement may use.
+enum class RoomKind { kFree, kSoon };
+
+/// How picky a placement is.
+struct PlacementRules {
+  RoomKind room = RoomKind::kFree;
+  /// Accept a rack that slows the tasks down.
+  bool any_rack = false;
+  /// Accept workers that failed lately.
+  bool any_health = false;
+};
+
+/// True when the worker may run tasks of the unit, room aside.
+bool Eligible(const PlacementUnit& unit,
+              const WorkerRoom& room,
+              const PlacementRules& rules);
+
+/// Sets of workers, by index, among which the whole unit may be placed: one a
+/// rack when the unit wants one rack, else one of all workers.
+std::vector<std::vector<std::size_t>> Scopes(const PlacementUnit& unit,
+                                             const RoomMap& map,
+                                             const PlacementRules& rules);
+
+/// Chooses a worker for each task of the unit, all or none, so that the least
+/// usable room is left over. Returns indexes into the map, or nothing.
+std::optional<std::vector<std::size_t>> Place(const PlacementUnit& unit,
+                                              const RoomMap& map,
+                                              const PlacementRules& rules);
+
+}  // namespace carobrill::workload
+
+#endif  // PACKAGES_WORKLOAD_PLACEMENT_H_
--- /dev/null
+++ b/packages/workload/record_codec.cc
@@ -0,0 +1,225 @@
+#include "packages/workload/record_codec.h"
+
+#include <map>
+#include <utility>
+
+#include "packages/workload/workload.pb.h"
+
+namespace carobrill::workload {
+namespace {
+
+records::StepRecord ToRecord(const StepSpec& step) {
+  records::StepRecord record;
+  record.set_tasks(step.tasks);
+  record.set_cpu_millis(step.demand.cpu_millis);
+  record.set_memory_mb(step.demand.memory_mb);
+  record.set_accelerators(step.demand.accelerators);
+  record.set_estimate_ms(step.estimate_ms);
+  record.mutable_depends_on()->Assign(step.depends_on.begin(),
+                                      step.depends_on.end());
+  record.set_checkpointable(step.checkpointable);
+  record.set_gang(step.gang);
+  record.set_one_rack(step.one_rack);
+  record.set_copies_allowed(step.copies_allowed);
+  record.set_long_running(step.long_running);
+  record.set_filler(step.filler);
+  record.set_worker_label(step.worker_label);
+  record.set_data_rack(step.data_rack);
+  record.set_max_per_worker(step.max_per_worker);
+  record.set_max_unavailable(step.max_unavailable);
+  record.set_latency_target_ms(step.latency_target_ms);
+  record.set_image(step.image);
+  return record;
+}
+
+StepSpec FromRecord(const records::StepRecord& record) {
+  StepSpec step;
+  step.tasks = record.tasks();
+  step.demand = {record.cpu_millis(), record.memory_mb(),
+                 record.accelerators()};
+  step.estimate_ms = record.estimate_ms();
+  step.depends_on.assign(record.depends_on().begin(),
+                         record.depends_on().end());
+  step.checkpointable = record.checkpointable();
+  step.gang = record.gang();
+  step.one_rack = record.one_rack();
+  step.copies_allowed = record.copies_allowed();
+  step.long_running = record.long_running();
+  step.filler = record.filler();
+  step.worker_label = record.worker_label();
+  step.data_rack = record.data_rack();
+  step.max_per_worker = record.max_per_worker();
+  step.max_unavailable = record.max_unavailable();
+  step.latency_target_ms = record.latency_target_ms();
+  step.image = record.image();
+  return step;
+}
+
+/// Numbers the workers that a record names, from 1.
+class WorkerIndex {
+ public:
+  explicit WorkerIndex(records::JobRecord& record) : record(record) {}
+
+  std::uint32_t NumberOf(const WorkerLife& life) {
+    const auto [found, added] = this->numbers.try_emplace(
+        life, static_cast<std::uint32_t>(this->numbers.size()) + 1);
+    if (added) {
+      auto* worker = this->record.add_workers();
+      worker->set_id(life.id.value);
+      worker->set_born_unix_ms(life.born_ms);
+      worker->set_agent(life.agent.value);
+    }
+    return found->second;
+  }
+
+ private:
+  records::JobRecord& record;
+  std::map<WorkerLife, std::uint32_t> numbers;
+};
+
+bool IsPristine(const TaskState& task) {
+  return task.phase == TaskPhase::kWaiting && task.run == 0;
+}
+
+bool ReadTask(const records::JobRecord& record,
+              const records::TaskRecord& stored,
+              Job& job) {
+  TaskState* task = job.Find({job.submission.id, stored.occurrence(),
+                              stored.step(), stored.index()});
+  if (task == nullptr ||
+      stored.phase() > static_cast<std::uint32_t>(TaskPhase::kDone) ||
+      stored.worker() > static_cast<std::uint32_t>(record.workers_size())) {
+    return false;
+  }
+  task->phase = static_cast<TaskPhase>(stored.phase());
+  task->run = stored.run();
+  task->failures = stored.failures();
+  task->checkpoint = stored.checkpoint();
+  if (stored.worker() > 0) {
+    const auto& worker = record.workers(static_cast<int>(stored.worker()) - 1);
+    task->worker = {InstanceId(worker.agent()), WorkerId(worker.id()),
+                    worker.born_unix_ms()};
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeSubmission(const Submission& submission) {
+  records::SubmissionRecord record;
+  record.set_account(submission.account.value);
+  record.set_queue(submission.queue);
+  record.set_service(submission.service.value);
+  record.set_priority(submission.priority);
+  record.set_max_attempts(submission.max_attempts);
+  record.set_stretch_percent(submission.stretch_percent);
+  record.set_objective_slack_ms(submission.objective_slack_ms);
+  record.set_needs_advice(submission.needs_advice);
+  record.set_accepted_at_unix_ms(submission.accepted_at.ms);
+  record.set_payload(submission.spec.payload);
+  for (const StepSpec& step : submission.spec.steps) {
+    *record.add_steps() = ToRecord(step);
+  }
+  record.set_repeats(submission.spec.repeats);
+  record.set_first_due_unix_ms(submission.spec.first_due.ms);
+  record.set_interval_ms(submission.spec.interval_ms);
+  return record.SerializeAsString();
+}
+
+Result<Submission> DecodeSubmission(const JobId& id, const std::string& bytes) {
+  records::SubmissionRecord record;
+  if (!record.ParseFromString(bytes) || record.steps_size() == 0) {
+    return Fail(RecordError{id.value});
+  }
+  Submission submission;
+  submission.id = id;
+  submission.account = AccountId(record.account());
+  submission.queue = record.queue();
+  submission.service = ServiceId(record.service());
+  submission.priority = record.priority();
+  submission.max_attempts = record.max_attempts();
+  submission.stretch_percent = record.stretch_percent();
+  submission.objective_slack_ms = record.objective_slack_ms();
+  submission.needs_advice = record.needs_advice();
+  submission.accepted_at.ms = record.accepted_at_unix_ms();
+  submission.spec.payload = record.payload();
+  for (const auto& step : record.steps()) {
+    submission.spec.steps.push_back(FromRecord(step));
+  }
+  submission.spec.repeats = record.repeats();
+  submission.spec.first_due.ms = record.first_due_unix_ms();
+  submission.spec.interval_ms = record.interval_ms();
+  return submission;
+}
+
+std::string EncodeProgress(const Job& job) {
+  records::JobRecord record;
+  record.set_phase(static_cast<std::uint32_t>(job.phase));
+  record.set_cancel_requested(job.cancel_requested);
+  record.set_ended_at_unix_ms(job.ended_at.ms);
+  // Of a final job only the tasks that still have to be stopped matter.
+  if (IsFinal(job.phase) && !job.AnyOccupies()) {
+    return record.SerializeAsString();
+  }
+  WorkerIndex workers(record);
+  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+    const auto& steps = job.occurrences[k].steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+      if (steps[s].gang_failures > 0) {
+        auto* failures = record.add_gang_failures();
+        failures->set_occurrence(k);
+        failures->set_step(s);
+        failures->set_failures(steps[s].gang_failures);
+      }
+      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+        const TaskState& task = steps[s].tasks[i];
+        if (IsPristine(task)) {
+          continue;
+        }
+        auto* stored = record.add_tasks();
+        stored->set_occurrence(k);
+        stored->set_step(s);
+        stored->set_index(i);
+        stored->set_phase(static_cast<std::uint32_t>(task.phase));
+        stored->set_run(task.run);
+        stored->set_failures(task.failures);
+        if (task.phase != TaskPhase::kDone) {
+          stored->set_checkpoint(task.checkpoint);
+        }
+        if (task.Occupies()) {
+          stored->set_worker(workers.NumberOf(task.worker));
+        }
+      }
+    }
+  }
+  return record.SerializeAsString();
+}
+
+Result<void> DecodeProgress(const std::string& bytes, Job& job) {
+  records::JobRecord record;
+  if (!record.ParseFromString(bytes) ||
+      record.phase() > static_cast<std::uint32_t>(JobPhase::kCancelled)) {
+    return Fail(RecordError{job.submission.id.value});
+  }
+  Job read = Job::Of(job.submission);
+  read.phase = static_cast<JobPhase>(record.phase());
+  read.cancel_requested = record.cancel_requested() || job.cancel_requested;
+  read.ended_at.ms = record.ended_at_unix_ms();
+  for (const auto& stored : record.tasks()) {
+    if (!ReadTask(record, stored, read)) {
+      return Fail(RecordError{job.submission.id.value});
+    }
+  }
+  for (const auto& stored : record.gang_failures()) {
+    if (read.Find({job.submission.id, stored.occurrence(), stored.step(), 0}) ==
+        nullptr) {
+      return Fail(RecordError{job.submission.id.value});
+    }
+    read.occurrences[stored.occurrence()].steps[stored.step()].gang_failures =
+        stored.failures();
+  }
+  job = std::move(read);
+  return {};
+}
+
+}  // namespace carobrill::workload
--- /dev/null
+++ b/packages/workload/resources.h
@@ -0,0 +1,55 @@
+#ifndef PACKAGES_WORKLOAD_RESOURCES_H_
+#define PACKAGES_WORKLOAD_RESOURCES_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace carobrill::workload {
+
+/// An amount of room: processor in thousandths of a core, memory in MB and a
+/// number of accelerators.
+struct Resources {
+  std::int64_t cpu_millis = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  bool operator==(const Resources&) const = default;
+
+  /// True when every part is at most that of `room`.
+  bool FitsIn(const Resources& room) const {
+    return this->cpu_millis <= room.cpu_millis &&
+           this->memory_mb <= room.memory_mb &&
+           this->accelerators <= room.accelerators;
+  }
+
+  Resources& operator+=(const Resources& other) {
+    this->cpu_millis += other.cpu_millis;
+    this->memory_mb += other.memory_mb;
+    this->accelerators += other.accelerators;
+    return *this;
+  }
+
+  Resources& operator-=(const Resources& other) {
+    this->cpu_millis -= other.cpu_millis;
+    this->memory_mb -= other.memory_mb;
+    this->accelerators -= other.accelerators;
+    return *this;
+  }
+};
+
+/// Largest share of `room` that `demand` takes in any part, from 0 to 1;
+/// above 1 when it does not fit.
+inline double DominantShare(const Resources& demand, const Resources& room) {
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return part == 0 ? 0.0
+                     : static_cast<double>(part) /
+                           static_cast<double>(std::max<std::int64_t>(whole, 1));
+  };
+  return std::max({share(demand.cpu_millis, room.cpu_millis),
+                   share(demand.memory_mb, room.memory_mb),
+                   share(demand.accelerators, room.accelerators)});
+}
+
+}  // namespace carobrill::workload
+
+#endif  // PACKAGES_WORKLOAD_RESOURCES_H_
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -201,7 +201,7 @@
                       {"submitted_at_ms", 1'000},
                       {"waiting_reason", "it waits for 2 whole racks"}};
     const json page = {{"jobs", {job}}, {"next", first ? "c 1" : ""}};
-    return platform::HttpResponse{200, page.dump(), "application/json", {}};
+    return http::HttpResponse{200, page.dump(), "application/json", {}};
   });
   const auto outcome =
       RunWords({"-e", entry.Url(), "queue", "--account", "acme"});
@@ -229,7 +229,7 @@
                       {"account", "acme"},
                       {"state", submitted ? "queued" : state},
                       {"ended_at_ms", submitted ? 0 : 5}};
-    return platform::HttpResponse{200, job.dump(), "application/json", {}};
+    return http::HttpResponse{200, job.dump(), "application/json", {}};
   });
   const TemporaryFile file(
       R"({"account":"acme","class":"batch","kind":"train","members":2})");
@@ -276,7 +276,7 @@
                           : json{{"valid", true},
                                  {"version_in_force", 7},
                                  {"diff", "+account b"}};
-    return platform::HttpResponse{200, body.dump(), "application/json", {}};
+    return http::HttpResponse{200, body.dump(), "application/json", {}};
   });
   const TemporaryFile rules("account b\n");
   const auto outcome =
--- a/tests/cli/fake_entry.h
+++ b/tests/cli/fake_entry.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 
 namespace carobrill::cli {
 
@@ -15,8 +15,8 @@
 /// open.
 class FakeEntry {
  public:
-  using Script = std::function<std::optional<platform::HttpResponse>(
-      const platform::HttpRequest&)>;
+  using Script = std::function<std::optional<http::HttpResponse>(
+      const http::HttpRequest&)>;
 
   explicit FakeEntry(Script script)
       : script(std::move(script)),
@@ -39,7 +39,7 @@
   /// Answers every request with one response.
   static Script Always(int status, const std::string& body) {
     return [=](const auto&) {
-      return platform::HttpResponse{status, body, "application/json", {}};
+      return http::HttpResponse{status, body, "application/json", {}};
     };
   }
 
@@ -52,7 +52,7 @@
     return "http://127.0.0.1:" + std::to_string(this->port);
   }
 
-  std::vector<platform::HttpRequest> Requests() {
+  std::vector<http::HttpRequest> Requests() {
     const std::lock_guard lock(this->mutex);
     return this->requests;
   }
@@ -60,10 +60,10 @@
  private:
   Script script;
   std::mutex mutex;
-  std::vector<platform::HttpRequest> requests;
-  std::vector<platform::HttpResponder> open;
+  std::vector<http::HttpRequest> requests;
+  std::vector<http::HttpResponder> open;
   Task task{"entry"};
-  platform::HttpServer server;
+  http::HttpServer server;
   std::uint16_t port;
 };
 
--- a/tests/daemon/agent_fixture.h
+++ b/tests/daemon/agent_fixture.h
@@ -14,8 +14,8 @@
 #include <utility>
 
 #include "packages/daemon/agent_role.h"
-#include "packages/platform/http_client.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_client.h"
+#include "packages/http/http_server.h"
 #include "packages/rpc/agent_client.h"
 #include "packages/rpc/entry_server.h"
 #include "packages/testing/fake_endpoint.h"
@@ -129,8 +129,8 @@
   explicit Served(Arguments&&... arguments)
       : fake(std::forward<Arguments>(arguments)...),
         server(this->task,
-               [this](const platform::HttpRequest& request,
-                      const platform::HttpResponder& respond) {
+               [this](const http::HttpRequest& request,
+                      const http::HttpResponder& respond) {
                  this->fake.Handle(request, respond);
                }),
         client(this->task) {
@@ -140,7 +140,7 @@
   }
 
   void Control(const nlohmann::json& change) {
-    platform::HttpCall call;
+    http::HttpCall call;
     call.method = "POST";
     call.url = this->url + "/control";
     call.body = change.dump();
@@ -148,7 +148,7 @@
   }
 
   nlohmann::json Stats() {
-    platform::HttpCall call;
+    http::HttpCall call;
     call.url = this->url + "/stats";
     return nlohmann::json::parse(this->client.SendAndWait(call).body);
   }
@@ -158,8 +158,8 @@
  private:
   Task task{"fake"};
   Fake fake;
-  platform::HttpServer server;
-  platform::HttpClient client;
+  http::HttpServer server;
+  http::HttpClient client;
 };
 
 /// Calls agents as an entry does, and waits for the answers.
--- a/tests/daemon/client_test.cc
+++ b/tests/daemon/client_test.cc
@@ -3,7 +3,7 @@
 #include <sstream>
 
 #include "packages/daemon/http_api.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 #include "tests/cli/capture.h"
 #include "tests/daemon/fake_backend.h"
 
@@ -19,7 +19,7 @@
   MetricsRegistry metrics;
   HttpApi<FakeBackend> api{backend, metrics, ApiLimits{}, "e1"};
   Task task{"entry"};
-  platform::HttpServer server{task, [this](const auto& request, auto respond) {
+  http::HttpServer server{task, [this](const auto& request, auto respond) {
                                 this->api.Handle(request, std::move(respond));
                               }};
   std::string url = "http://127.0.0.1:" +
--- a/tests/daemon/http_api_test.cc
+++ b/tests/daemon/http_api_test.cc
@@ -8,16 +8,16 @@
 #include <random>
 #include <set>
 
-#include "packages/platform/http_client.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_client.h"
+#include "packages/http/http_server.h"
 #include "tests/daemon/fake_backend.h"
 
 namespace carobrill::daemon {
 namespace {
 
 using nlohmann::json;
-using platform::HttpRequest;
-using platform::HttpResponse;
+using http::HttpRequest;
+using http::HttpResponse;
 
 const std::string kRequestBody =
     R"({"account":"acme","class":"urgent","idempotent":true,"deadline_ms":500,)"
@@ -293,7 +293,7 @@
   CHECK(ran(detail::RefusalOf(route, unready, false, true)) == Ran::kUnknown);
   CHECK(ran(detail::RefusalOf(route, ready, true, false)) == Ran::kNo);
   CHECK_FALSE(detail::RefusalOf(route, ready, false, true).has_value());
-  platform::HttpRequest request;
+  http::HttpRequest request;
   CHECK_FALSE(detail::MayRepeat(request));
   request.headers["idempotency-key"] = "k";
   request.body = R"({"first_attempt":false})";
@@ -406,18 +406,18 @@
   HttpApi<FakeBackend> api(backend, metrics, ApiLimits{}, "e1");
   Task server_task("server");
   Task client_task("client");
-  platform::HttpServer server(
+  http::HttpServer server(
       server_task,
-      [&](const HttpRequest& request, platform::HttpResponder respond) {
+      [&](const HttpRequest& request, http::HttpResponder respond) {
         api.Handle(request, std::move(respond));
       });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
-  platform::HttpClient client(client_task);
+  http::HttpClient client(client_task);
   std::vector<std::string> answers(kCallers);
   std::atomic<int> answered = 0;
   for (int i = 0; i < kCallers; ++i) {
-    platform::HttpCall call;
+    http::HttpCall call;
     call.method = "POST";
     call.url =
         "http://127.0.0.1:" + std::to_string(*port) + "/v1/services/s/requests";
@@ -428,7 +428,7 @@
                      {"payload", std::to_string(i)}}
                     .dump();
     call.deadline = BootClock{}.Now().After(20'000);
-    client.Send(call, [&, i](platform::HttpReply reply) {
+    client.Send(call, [&, i](http::HttpReply reply) {
       const auto body = json::parse(reply.body, nullptr, false);
       // What came instead of an answer shows in the failure of the check.
       answers[i] = body.is_object() && body.contains("answer")
--- a/tests/platform/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -1,4 +1,4 @@
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 
 #include <doctest/doctest.h>
 
@@ -6,9 +6,9 @@
 #include <memory>
 #include <vector>
 
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 
-namespace carobrill::platform {
+namespace carobrill::http {
 namespace {
 
 // Guards against a callback that refers to an owner which has ended.
@@ -40,4 +40,4 @@
 }
 
 }  // namespace
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
--- a/tests/platform/http_test.cc
+++ b/tests/http/http_test.cc
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "packages/platform/http_client.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_client.h"
+#include "packages/http/http_server.h"
 
-namespace carobrill::platform {
+namespace carobrill::http {
 namespace {
 
 std::string UrlOf(std::uint16_t port, const std::string& path) {
@@ -282,4 +282,4 @@
 }
 
 }  // namespace
-}  // namespace carobrill::platform
+}  // namespace carobrill::http
--- a/tests/platform/log_client_test.cc
+++ b/tests/platform/log_client_test.cc
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "packages/platform/http_server.h"
+#include "packages/http/http_server.h"
 #include "packages/testing/fake_log.h"
 
 namespace carobrill::platform {
@@ -45,8 +45,8 @@
     return this->StartRead(from, max, 0).get();
   }
 
-  HttpReply Control(const std::string& body) {
-    HttpCall call;
+  http::HttpReply Control(const std::string& body) {
+    http::HttpCall call;
     call.method = "POST";
     call.url = this->url + "/control";
     call.body = body;
@@ -56,7 +56,7 @@
   Task server_task{"server"};
   Task client_task{"client"};
   testing::FakeLog log;
-  HttpClient http;
+  http::HttpClient http;
   std::string url;
   std::unique_ptr<LogClient> client;
 };
@@ -118,7 +118,7 @@
   CHECK(BootClock{}.Now() >= start.After(45));
   service.Control(R"({"new_lineage": "empty", "delay_ms": 0})");
   CHECK(service.Read(0).next_offset == 0);
-  HttpCall stats;
+  http::HttpCall stats;
   stats.url = service.url + "/stats";
   CHECK(service.http.SendAndWait(stats).body ==
         R"({"appends":2,"bytes":2,"lineage":"lineage-3"})");
@@ -129,12 +129,12 @@
 TEST_CASE("a response that breaks the protocol is refused") {
   Task server_task("server");
   Task client_task("client");
-  HttpResponse response;
-  HttpServer server(
+  http::HttpResponse response;
+  http::HttpServer server(
       server_task,
-      [&](const HttpRequest&, HttpResponder respond) { respond(response); });
+      [&](const http::HttpRequest&, http::HttpResponder respond) { respond(response); });
   const auto port = server.Listen("127.0.0.1", 0).value();
-  HttpClient http(client_task);
+  http::HttpClient http(client_task);
   LogClient client(http, "http://127.0.0.1:" + std::to_string(port));
   const auto read = [&](int status, const std::string& body) {
     server_task.Run([&] {
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -67,7 +67,7 @@
            std::string(CAROBRILL_SOURCE_DIRECTORY) + "/charts"}};
 }
 
-Json ParsedBody(const platform::HttpReply& reply) {
+Json ParsedBody(const http::HttpReply& reply) {
   Json body = Json::parse(reply.body, nullptr, false);
   return body.is_discarded() ? Json() : body;
 }
@@ -266,13 +266,13 @@
       kStartLimitMs));
 }
 
-std::future<platform::HttpReply> Deployment::Call(int entry,
+std::future<http::HttpReply> Deployment::Call(int entry,
                                                   const std::string& method,
                                                   const std::string& path,
                                                   const std::string& body,
                                                   const std::string& key,
                                                   std::int64_t limit_ms) {
-  platform::HttpCall call;
+  http::HttpCall call;
   call.method = method;
   call.url = Url(this->entries.at(entry).port) + path;
   call.body = body;
@@ -280,8 +280,8 @@
   if (!key.empty()) {
     call.headers["Idempotency-Key"] = key;
   }
-  auto promise = std::make_shared<std::promise<platform::HttpReply>>();
-  this->client.Send(std::move(call), [promise](platform::HttpReply reply) {
+  auto promise = std::make_shared<std::promise<http::HttpReply>>();
+  this->client.Send(std::move(call), [promise](http::HttpReply reply) {
     promise->set_value(std::move(reply));
   });
   return promise->get_future();
@@ -304,7 +304,7 @@
   return std::async(
       std::launch::deferred, [reply = std::move(reply)]() mutable {
         const auto got = reply.get();
-        return RequestOutcome{got.failure == platform::HttpFailure::kNone,
+        return RequestOutcome{got.failure == http::HttpFailure::kNone,
                               got.status, ParsedBody(got)};
       });
 }
@@ -344,11 +344,11 @@
   return body.is_object() ? body.value("state", "") : "";
 }
 
-platform::HttpReply Deployment::Send(const std::string& method,
+http::HttpReply Deployment::Send(const std::string& method,
                                      std::uint16_t port,
                                      const std::string& path,
                                      const std::string& body) {
-  platform::HttpCall call;
+  http::HttpCall call;
   call.method = method;
   call.url = Url(port) + path;
   call.body = body;
@@ -406,7 +406,7 @@
          "   # asked by: A. Mensah\n";
 }
 
-std::future<platform::HttpReply> Deployment::Publish(int entry,
+std::future<http::HttpReply> Deployment::Publish(int entry,
                                                      int base_version,
                                                      const std::string& author,
                                                      const std::string& text) {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "packages/platform/http_client.h"
+#include "packages/http/http_client.h"
 #include "tests/process/process.h"
 
 namespace carobrill::process {
@@ -64,7 +64,7 @@
   void RestartEntry(int number);
 
   /// Sends a call to the HTTP API of an entry.
-  std::future<platform::HttpReply> Call(int entry,
+  std::future<http::HttpReply> Call(int entry,
                                         const std::string& method,
                                         const std::string& path,
                                         const std::string& body = "",
@@ -104,7 +104,7 @@
   static std::string Rules();
 
   /// Publishes a rule file through an entry.
-  std::future<platform::HttpReply> Publish(int entry,
+  std::future<http::HttpReply> Publish(int entry,
                                            int base_version,
                                            const std::string& author,
                                            const std::string& text);
@@ -129,7 +129,7 @@
                             const Part& part,
                             const nlohmann::json& fronted) const;
   bool BecomesReady();
-  platform::HttpReply Send(const std::string& method,
+  http::HttpReply Send(const std::string& method,
                            std::uint16_t port,
                            const std::string& path,
                            const std::string& body);
@@ -143,7 +143,7 @@
   std::vector<Part> workers;
   std::vector<Part> worker_agents;
   Task task{"deployment"};
-  platform::HttpClient client{task};
+  http::HttpClient client{task};
 };
 
 /// Polls until `condition` holds; false after `limit_ms`.
--- a/tests/process/process_test.cc
+++ b/tests/process/process_test.cc
@@ -5,8 +5,8 @@
 
 #include <atomic>
 
-#include "packages/platform/http_client.h"
-#include "packages/platform/http_server.h"
+#include "packages/http/http_client.h"
+#include "packages/http/http_server.h"
 #include "tests/process/relay.h"
 
 namespace carobrill::process {
@@ -84,19 +84,19 @@
   Task server_task("server");
   Task client_task("client");
   std::atomic<int> received = 0;
-  platform::HttpServer server(server_task,
+  http::HttpServer server(server_task,
                               [&](const auto& request, auto respond) {
                                 ++received;
-                                platform::HttpResponse response;
+                                http::HttpResponse response;
                                 response.body = request.body;
                                 respond(response);
                               });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
   Relay relay(*port);
-  platform::HttpClient client(client_task);
+  http::HttpClient client(client_task);
   const auto send = [&](const std::string& body, std::int64_t limit_ms) {
-    platform::HttpCall call;
+    http::HttpCall call;
     call.method = "POST";
     call.url = "http://127.0.0.1:" + std::to_string(relay.Port()) + "/";
     call.body = body;
@@ -109,15 +109,15 @@
   CHECK(received == 1);
 
   relay.SetMode(RelayMode::kHold);
-  CHECK(send("b", 200).failure == platform::HttpFailure::kTimeout);
+  CHECK(send("b", 200).failure == http::HttpFailure::kTimeout);
   CHECK(received == 1);
 
   relay.SetMode(RelayMode::kHoldReplies);
-  CHECK(send("c", 300).failure == platform::HttpFailure::kTimeout);
+  CHECK(send("c", 300).failure == http::HttpFailure::kTimeout);
   CHECK(received >= 2);
 
   relay.SetMode(RelayMode::kCut);
-  CHECK(send("d", kLimitMs).failure == platform::HttpFailure::kUnreachable);
+  CHECK(send("d", kLimitMs).failure == http::HttpFailure::kUnreachable);
 
   relay.SetMode(RelayMode::kPass);
   CHECK(send("e", kLimitMs).body == "e");
