--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -3,11 +3,15 @@
 # Members carry no mark, so a constructor's parameter may share a member's name.
 set(CAROBRILL_WARNINGS -Wall -Wextra -Wshadow=local -Wnon-virtual-dtor)
 
-# carobrill_package(NAME LINKS targets...): static library of packages/NAME.
+# carobrill_package(NAME [FOLDER path] LINKS targets...): static library of
+# packages/NAME, or of another folder.
 # Files named main_*.cc belong to programs, not to the library.
 function(carobrill_package name)
-  cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/packages/${name}/*.cc)
+  cmake_parse_arguments(ARG "" "FOLDER" "LINKS" ${ARGN})
+  if(NOT ARG_FOLDER)
+    set(ARG_FOLDER packages/${name})
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_FOLDER}/*.cc)
   list(FILTER sources EXCLUDE REGEX "/main_[a-z_]+\\.cc$")
   set(generated ${sources})
   list(FILTER generated INCLUDE REGEX "\\.pb\\.cc$")
--- a/packages/daemon/main_carobrilld.cc
+++ b/packages/daemon/main_carobrilld.cc
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include <cstdio>
 #include <optional>
 #include <string>
@@ -11,8 +13,11 @@
 #include "packages/daemon/daemon_runner.h"
 #include "packages/daemon/entry_role.h"
 #include "packages/daemon/settings.h"
+#include "packages/daemon/settings_watch.h"
 #include "packages/http/http_server.h"
 #include "packages/rpc/rpc_types.h"
+#include "platform/gateway_role.h"
+#include "platform/worker_agent_role.h"
 
 namespace carobrill::daemon {
 namespace {
@@ -52,10 +57,19 @@
 ExitCode Run(const Settings& settings) {
   ConfigureLog({settings.instance.log_level, settings.instance.log_format,
                 settings.instance.id});
-  if (settings.role == Role::kEntry) {
-    return RunRole<EntryRole>(settings, StartRole<EntryRole>);
+  switch (settings.role) {
+    case Role::kEntry:
+      return RunRole<EntryRole>(settings, StartRole<EntryRole>);
+    case Role::kAgent:
+      return RunRole<AgentRole>(settings, StartRole<AgentRole>);
+    case Role::kGateway:
+      return RunRole<adapter::GatewayRole>(settings,
+                                           StartRole<adapter::GatewayRole>);
+    case Role::kWorkerAgent:
+      return RunRole<adapter::WorkerAgentRole>(
+          settings, StartRole<adapter::WorkerAgentRole>);
   }
-  return RunRole<AgentRole>(settings, StartRole<AgentRole>);
+  return ExitCode::kInternal;
 }
 
 ExitCode RunOrCheck(const DaemonOptions& options) {
@@ -73,6 +87,7 @@
     std::puts("the settings are valid");
     return ExitCode::kOk;
   }
+  const SettingsWatch watch(options.settings_path);
   return Run(*settings);
 }
 
@@ -100,6 +115,8 @@
 }  // namespace carobrill::daemon
 
 int main(int argc, char** argv) {
+  // HTTP sessions would look for proxy settings in a desktop's database.
+  g_setenv("GSETTINGS_BACKEND", "memory", TRUE);
   return static_cast<int>(
       carobrill::daemon::Main(std::vector<std::string>(argv, argv + argc)));
 }
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -26,6 +26,20 @@
 constexpr std::size_t kMaxText = 4096;
 constexpr std::string_view kUrlScheme = "http://";
 
+SettingNeed NeedOf(Role role) {
+  switch (role) {
+    case Role::kEntry:
+      return SettingNeed::kRequiredInEntry;
+    case Role::kAgent:
+      return SettingNeed::kRequiredInAgent;
+    case Role::kGateway:
+      return SettingNeed::kRequiredInGateway;
+    case Role::kWorkerAgent:
+      return SettingNeed::kRequiredInWorkerAgent;
+  }
+  return SettingNeed::kRequired;
+}
+
 bool IsName(std::string_view text) {
   return !text.empty() && text.size() <= kMaxName &&
          std::all_of(text.begin(), text.end(), [](char c) {
@@ -104,7 +118,7 @@
     this->CheckRequired();
     if (this->settings.role == Role::kEntry) {
       this->CheckEntry(this->settings.entry);
-    } else {
+    } else if (this->settings.role == Role::kAgent) {
       this->CheckAgent(this->settings.agent);
     }
     this->CheckInstance(this->settings.instance);
@@ -287,10 +301,7 @@
     for (const auto& setting : AllSettings()) {
       const bool needed =
           setting.need == SettingNeed::kRequired ||
-          (role_known && setting.need == SettingNeed::kRequiredInEntry &&
-           this->settings.role == Role::kEntry) ||
-          (role_known && setting.need == SettingNeed::kRequiredInAgent &&
-           this->settings.role == Role::kAgent);
+          (role_known && setting.need == NeedOf(this->settings.role));
       if (needed && setting.name != "role") {
         this->Require(std::string(setting.name));
       }
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -12,11 +12,13 @@
 namespace carobrill::daemon {
 
 /// What a process does; one role per process.
-enum class Role { kEntry, kAgent };
+enum class Role { kEntry, kAgent, kGateway, kWorkerAgent };
 
 constexpr auto NamesOf(Role) {
-  return MakeNameTable<Role>(
-      {{Role::kEntry, "entry"}, {Role::kAgent, "agent"}});
+  return MakeNameTable<Role>({{Role::kEntry, "entry"},
+                              {Role::kAgent, "agent"},
+                              {Role::kGateway, "gateway"},
+                              {Role::kWorkerAgent, "worker_agent"}});
 }
 
 /// An IP address and a port; port 0 picks a free one.
@@ -117,12 +119,43 @@
   WorkerSettings worker;
 };
 
+/// Settings of a gateway: a process that clients reach on the platform.
+struct GatewaySettings {
+  /// Address ("ip:port") for clients.
+  std::string front;
+  /// Address that shows whether new connections are welcome.
+  std::string ready;
+  /// Address of the platform's store.
+  std::string store;
+  /// Lease of the tasks on a worker; below the platform's bound for it.
+  std::int64_t worker_lease_ms = 5'500;
+  /// Age of the configuration after which keys are not trusted; below the
+  /// platform's bound for keys that are taken away.
+  std::int64_t configuration_age_ms = 3'800;
+  /// How long the state of an ended job is told.
+  std::int64_t job_retention_ms = 130'000;
+  /// How long urgent work waits for a rack where it runs at full speed.
+  std::int64_t urgent_rack_patience_ms = 900;
+};
+
+/// Settings of a worker agent on the platform.
+struct WorkerAgentSettings {
+  /// Address ("ip:port") to which the worker sends its heartbeats.
+  std::string heartbeat;
+  /// Address of the worker.
+  std::string worker;
+  /// Address of the platform's store.
+  std::string store;
+};
+
 /// All settings of one process; only the part of its role is used.
 struct Settings {
   Role role = Role::kEntry;
   InstanceSettings instance;
   EntrySettings entry;
   AgentSettings agent;
+  GatewaySettings gateway;
+  WorkerAgentSettings worker_agent;
 };
 
 /// Why a settings file was refused.
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -228,9 +228,58 @@
   };
 }
 
+std::vector<SettingDescription> GatewayTable() {
+  using S = Settings;
+  return {
+      {"gateway.front", [](S& s) -> SettingTarget { return &s.gateway.front; },
+       "Address for clients.", "", 0, 0, SettingForm::kAddressAndPort,
+       SettingNeed::kRequiredInGateway},
+      {"gateway.ready", [](S& s) -> SettingTarget { return &s.gateway.ready; },
+       "Address that shows whether new connections are welcome.", "", 0, 0,
+       SettingForm::kAddressAndPort, SettingNeed::kRequiredInGateway},
+      {"gateway.store", [](S& s) -> SettingTarget { return &s.gateway.store; },
+       "Address of the platform's store.", "", 0, 0,
+       SettingForm::kAddressAndPort, SettingNeed::kRequiredInGateway},
+      {"gateway.worker_lease_ms",
+       [](S& s) -> SettingTarget { return &s.gateway.worker_lease_ms; },
+       "Lease of the tasks on a worker.", "ms", 1'000, kMinuteMs},
+      {"gateway.configuration_age_ms",
+       [](S& s) -> SettingTarget { return &s.gateway.configuration_age_ms; },
+       "Age of the configuration after which keys are not trusted.", "ms", 500,
+       kMinuteMs},
+      {"gateway.job_retention_ms",
+       [](S& s) -> SettingTarget { return &s.gateway.job_retention_ms; },
+       "How long the state of an ended job is told.", "ms", 1'000, kDayMs},
+      {"gateway.urgent_rack_patience_ms",
+       [](S& s) -> SettingTarget {
+         return &s.gateway.urgent_rack_patience_ms;
+       },
+       "How long urgent work waits for a rack where it runs at full speed.",
+       "ms", 0, kMinuteMs},
+  };
+}
+
+std::vector<SettingDescription> WorkerAgentTable() {
+  using S = Settings;
+  return {
+      {"worker_agent.heartbeat",
+       [](S& s) -> SettingTarget { return &s.worker_agent.heartbeat; },
+       "Address to which the worker sends its heartbeats.", "", 0, 0,
+       SettingForm::kAddressAndPort, SettingNeed::kRequiredInWorkerAgent},
+      {"worker_agent.worker",
+       [](S& s) -> SettingTarget { return &s.worker_agent.worker; },
+       "Address of the worker.", "", 0, 0, SettingForm::kAddressAndPort,
+       SettingNeed::kRequiredInWorkerAgent},
+      {"worker_agent.store",
+       [](S& s) -> SettingTarget { return &s.worker_agent.store; },
+       "Address of the platform's store.", "", 0, 0,
+       SettingForm::kAddressAndPort, SettingNeed::kRequiredInWorkerAgent},
+  };
+}
+
 std::vector<SettingDescription> MakeTable() {
   auto table = InstanceTable();
-  for (const auto& part : {EntryTable(), AgentTable()}) {
+  for (const auto& part : {EntryTable(), AgentTable(), GatewayTable(), WorkerAgentTable()}) {
     table.insert(table.end(), part.begin(), part.end());
   }
   return table;
--- a/packages/daemon/settings_table.h
+++ b/packages/daemon/settings_table.h
@@ -29,7 +29,9 @@
   kOptional,
   kRequired,
   kRequiredInEntry,
-  kRequiredInAgent
+  kRequiredInAgent,
+  kRequiredInGateway,
+  kRequiredInWorkerAgent,
 };
 
 /// The member of `Settings` that a setting sets.
--- /dev/null
+++ b/packages/gateway/caller_api.h
@@ -0,0 +1,359 @@
+#ifndef PACKAGES_GATEWAY_CALLER_API_H_
+#define PACKAGES_GATEWAY_CALLER_API_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "packages/core/keyed_log.h"
+#include "packages/core/log.h"
+#include "packages/core/metrics.h"
+#include "packages/core/task.h"
+#include "packages/gateway/caller_types.h"
+#include "packages/gateway/configuration.h"
+#include "packages/gateway/job_view.h"
+#include "packages/gateway/topics.h"
+#include "packages/workload/record_codec.h"
+
+namespace carobrill::gateway {
+
+/// Limits of the calls of clients, in ms.
+struct CallerSettings {
+  /// Age of the newest sign that the configuration is in force after which
+  /// keys and queues are not trusted any more. Below the bound within which a
+  /// removed key must stop working.
+  std::int64_t configuration_age_ms = 3'800;
+  /// Age of the view of the jobs after which states are not told any more.
+  std::int64_t view_age_ms = 3'000;
+  /// One append, when the client leaves that much time.
+  std::int64_t append_ms = 1'000;
+  /// Kept back from a client's deadline for the way of the answer.
+  std::int64_t answer_margin_ms = 150;
+  std::int64_t retry_ms = 80;
+  /// Attempts of an append that the log refused.
+  std::uint32_t refused_attempts = 4;
+  /// What a caller is told to wait after a refusal.
+  std::int64_t retry_after_ms = 300;
+};
+
+/// What the caller API reads; set by the owner and used on its task.
+struct CallerSources {
+  /// The configuration; null before the first.
+  std::function<const Configuration*()> configuration;
+  /// Boot clock: the configuration is the newest of this moment.
+  std::function<Instant()> configuration_fresh_at;
+  /// Boot clock: the view holds all that was stored before this.
+  std::function<Instant()> view_fresh_at;
+  /// Runs the callback when the view holds all that is stored now.
+  std::function<void(std::function<void(bool)>)> barrier;
+};
+
+/// Serves the calls of clients from the view, and stores what they hand in.
+template <KeyedLog LogStore>
+class CallerApi {
+ public:
+  CallerApi(Task& task,
+            LogStore& log,
+            const JobView& view,
+            CallerSources sources,
+            CallerSettings settings,
+            MetricsRegistry& metrics)
+      : task(task),
+        log(log),
+        view(view),
+        sources(std::move(sources)),
+        settings(settings),
+        metrics(metrics) {}
+
+  ~CallerApi() { *this->alive = false; }
+
+  CallerApi(const CallerApi&) = delete;
+  CallerApi& operator=(const CallerApi&) = delete;
+
+  /// Answers one call; `respond` runs once.
+  void Handle(CallerRequest request, CallerResponder respond) {
+    auto call = std::make_shared<Call>();
+    call->request = std::move(request);
+    call->began = BootClock{}.Now();
+    call->respond = std::move(respond);
+    if (const auto early = this->Check(*call)) {
+      this->Answer(*call, *early, "");
+      return;
+    }
+    switch (call->request.verb) {
+      case CallerVerb::kSubmit:
+        this->Submit(call);
+        return;
+      case CallerVerb::kCancel:
+        this->Cancel(call);
+        return;
+      default:
+        this->Query(call);
+        return;
+    }
+  }
+
+ private:
+  struct Call {
+    CallerRequest request;
+    Queue queue;
+    AccountId account;
+    JobId job;
+    Instant began;
+    KeyedEntry entry;
+    bool maybe_stored = false;
+    std::uint32_t attempts = 0;
+    CallerResponder respond;
+  };
+  using CallRef = std::shared_ptr<Call>;
+
+  static CallerAnswer Plain(CallerOutcome outcome) {
+    return {outcome, {}, 0, 0};
+  }
+
+  CallerAnswer NotDone() const {
+    return {CallerOutcome::kNotDone, {}, 0, this->settings.retry_after_ms};
+  }
+
+  /// Finds the queue, the account and the job; returns an answer when the call
+  /// ends here.
+  std::optional<CallerAnswer> Check(Call& call) {
+    const Configuration* configuration = this->sources.configuration();
+    const Instant fresh_at = this->sources.configuration_fresh_at();
+    if (configuration == nullptr ||
+        call.began >= fresh_at.After(this->settings.configuration_age_ms)) {
+      return this->NotDone();
+    }
+    const std::string path =
+        call.request.path.substr(0, call.request.path.find('?'));
+    const Queue* queue = configuration->FindQueue(call.request.host, path);
+    if (queue == nullptr && !path.ends_with('/')) {
+      queue = configuration->FindQueue(call.request.host, path + "/");
+    }
+    if (queue == nullptr) {
+      return Plain(CallerOutcome::kUnknownQueue);
+    }
+    call.queue = *queue;
+    if (path.size() > queue->path_prefix.size()) {
+      call.job = JobId(path.substr(queue->path_prefix.size()));
+    }
+    const auto account =
+        configuration->account_of_key.find(call.request.api_key);
+    if (account != configuration->account_of_key.end()) {
+      call.account = account->second;
+    } else if (!queue->anonymous) {
+      return Plain(CallerOutcome::kUnknownKey);
+    }
+    return this->CheckForm(call, *configuration);
+  }
+
+  std::optional<CallerAnswer> CheckForm(const Call& call,
+                                        const Configuration& configuration) {
+    const CallerVerb verb = call.request.verb;
+    if (verb == CallerVerb::kUnknown) {
+      return Plain(CallerOutcome::kMalformed);
+    }
+    if (verb == CallerVerb::kSubmit &&
+        call.request.body_bytes > configuration.max_body_bytes) {
+      return Plain(CallerOutcome::kTooLarge);
+    }
+    const bool needs_job = verb != CallerVerb::kQuery;
+    if ((needs_job && !IsJobId(call.job)) ||
+        (verb == CallerVerb::kSubmit && !call.request.spec.has_value())) {
+      return Plain(CallerOutcome::kMalformed);
+    }
+    return std::nullopt;
+  }
+
+  static bool IsJobId(const JobId& id) {
+    constexpr std::size_t kDigits = 16;
+    return id.value.size() == kDigits &&
+           std::ranges::all_of(id.value, [](unsigned char c) {
+             return std::isxdigit(c) != 0;
+           });
+  }
+
+  void Submit(const CallRef& call) {
+    if (this->view.Find(call->job) != nullptr) {
+      this->Answer(*call, Plain(CallerOutcome::kAccepted), "known");
+      return;
+    }
+    workload::Submission submission;
+    submission.id = call->job;
+    submission.account = call->account;
+    submission.queue = call->queue.name;
+    submission.service = call->queue.service;
+    submission.priority = call->queue.priority;
+    submission.max_attempts = call->queue.max_attempts;
+    submission.stretch_percent = call->queue.stretch_percent;
+    submission.objective_slack_ms = call->queue.objective_slack_ms;
+    submission.needs_advice = call->queue.needs_advice;
+    submission.accepted_at = WallClock{}.Now();
+    submission.spec = std::move(*call->request.spec);
+    call->entry = {JobKey(call->job), workload::EncodeSubmission(submission)};
+    this->Store(call, CallerOutcome::kAccepted);
+  }
+
+  void Cancel(const CallRef& call) {
+    if (const workload::Job* job = this->Visible(*call)) {
+      if (workload::IsFinal(job->phase)) {
+        this->Answer(*call, Plain(CallerOutcome::kUnknownJob), "ended");
+        return;
+      }
+      call->entry = {CancelKey(call->job), "1"};
+      this->Store(call, CallerOutcome::kCancelAccepted);
+      return;
+    }
+    this->sources.barrier([this, alive = this->alive, call](bool complete) {
+      if (!*alive) {
+        return;
+      }
+      if (!complete) {
+        this->Answer(*call, this->NotDone(), "view incomplete");
+      } else if (this->Visible(*call) != nullptr) {
+        this->Cancel(call);
+      } else {
+        this->Answer(*call, Plain(CallerOutcome::kUnknownJob), "");
+      }
+    });
+  }
+
+  /// The job of the call, if the caller's account may see it.
+  const workload::Job* Visible(const Call& call) const {
+    const workload::Job* job = this->view.Find(call.job);
+    const bool own = job != nullptr &&
+                     (call.account.empty() ||
+                      job->submission.account == call.account);
+    return own ? job : nullptr;
+  }
+
+  void Query(const CallRef& call) {
+    const bool old = call->began >= this->sources.view_fresh_at().After(
+                                        this->settings.view_age_ms);
+    if (old) {
+      this->Answer(*call, this->NotDone(), "view too old");
+      return;
+    }
+    if (call->job.empty()) {
+      CallerAnswer answer = Plain(CallerOutcome::kQueueCount);
+      answer.count = this->view.CountQueued(call->queue.name);
+      this->Answer(*call, answer, "");
+      return;
+    }
+    if (const workload::Job* job = this->Visible(*call)) {
+      this->AnswerState(*call, *job);
+      return;
+    }
+    this->sources.barrier([this, alive = this->alive, call](bool complete) {
+      if (!*alive) {
+        return;
+      }
+      if (const workload::Job* job = this->Visible(*call)) {
+        this->AnswerState(*call, *job);
+      } else if (!complete) {
+        this->Answer(*call, this->NotDone(), "view incomplete");
+      } else {
+        this->Answer(*call, Plain(CallerOutcome::kUnknownJob), "");
+      }
+    });
+  }
+
+  void AnswerState(Call& call, const workload::Job& job) {
+    CallerAnswer answer = Plain(CallerOutcome::kJobState);
+    answer.state = std::string(NameOf(job.phase));
+    this->Answer(call, answer, "");
+  }
+
+  // An append without an answer may take effect, even later; from then on the
+  // call must not be refused as not done.
+  void Store(const CallRef& call, CallerOutcome success) {
+    const Instant now = BootClock{}.Now();
+    const std::int64_t left =
+        call->request.deadline.RemainingMs(now) -
+        this->settings.answer_margin_ms;
+    if (left <= 0) {
+      this->GiveUp(*call, "deadline");
+      return;
+    }
+    ++call->attempts;
+    KeyedAppend append;
+    append.topic = kIntakeTopic;
+    append.entries = {call->entry};
+    append.deadline = now.After(std::min(left, this->settings.append_ms));
+    this->log.Append(append, [this, alive = this->alive, call,
+                              success](const KeyedAppendReply& reply) {
+      if (*alive) {
+        this->OnStored(call, success, reply.failure);
+      }
+    });
+  }
+
+  void OnStored(const CallRef& call,
+                CallerOutcome success,
+                KeyedLogFailure failure) {
+    if (failure == KeyedLogFailure::kNone) {
+      this->Answer(*call, Plain(success), "");
+      return;
+    }
+    const bool refused = failure == KeyedLogFailure::kRefused;
+    call->maybe_stored = call->maybe_stored || !refused;
+    if (refused && !call->maybe_stored &&
+        call->attempts >= this->settings.refused_attempts) {
+      this->GiveUp(*call, NameOf(failure));
+      return;
+    }
+    this->task.PostAt(BootClock{}.Now().After(this->settings.retry_ms),
+                      [this, alive = this->alive, call, success] {
+                        if (*alive) {
+                          this->Store(call, success);
+                        }
+                      });
+  }
+
+  void GiveUp(Call& call, std::string_view reason) {
+    this->Answer(call,
+                 call.maybe_stored ? Plain(CallerOutcome::kOutcomeUnknown)
+                                   : this->NotDone(),
+                 reason);
+  }
+
+  void Answer(Call& call, const CallerAnswer& answer, std::string_view reason) {
+    const std::int64_t age_ms = BootClock{}.Now().ms - call.began.ms;
+    this->metrics
+        .GetCounter("carobrill_caller_answers_total",
+                    "Answers to calls of clients, by outcome.",
+                    {{"outcome", std::string(NameOf(answer.outcome))}})
+        .Increment();
+    this->metrics
+        .GetHistogram("carobrill_caller_answer_seconds",
+                      "Time to answer a call of a client.", LatencyBounds())
+        .Observe(static_cast<double>(age_ms) / 1000);
+    const bool routine = call.request.verb == CallerVerb::kQuery &&
+                         (answer.outcome == CallerOutcome::kJobState ||
+                          answer.outcome == CallerOutcome::kQueueCount);
+    Log(routine ? LogLevel::kDebug : LogLevel::kInfo, "call_answered",
+        {{"job", call.job.value},
+         {"queue", call.queue.name},
+         {"account", call.account.value},
+         {"outcome", std::string(NameOf(answer.outcome))},
+         {"reason", std::string(reason)},
+         {"attempts", std::to_string(call.attempts)},
+         {"age_ms", std::to_string(age_ms)}});
+    call.respond(answer);
+  }
+
+  Task& task;
+  LogStore& log;
+  const JobView& view;
+  CallerSources sources;
+  CallerSettings settings;
+  MetricsRegistry& metrics;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_CALLER_API_H_
--- /dev/null
+++ b/packages/gateway/commit_pipeline.h
@@ -0,0 +1,119 @@
+#ifndef PACKAGES_GATEWAY_COMMIT_PIPELINE_H_
+#define PACKAGES_GATEWAY_COMMIT_PIPELINE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "packages/core/keyed_log.h"
+#include "packages/core/log.h"
+#include "packages/core/task.h"
+
+namespace carobrill::gateway {
+
+/// Times of an append, in ms.
+struct CommitSettings {
+  /// The slowest stores that are to be served answer after about 350 ms.
+  std::int64_t answer_ms = 1'000;
+  std::int64_t retry_ms = 60;
+};
+
+/// The planner's appends, one at a time. An append without an answer is
+/// repeated under the same sequence, which takes effect once.
+template <KeyedLog LogStore>
+class CommitPipeline {
+ public:
+  /// `epoch` is the planner's; `sequence` is that of its claim.
+  CommitPipeline(Task& task,
+                 LogStore& log,
+                 std::string topic,
+                 std::uint64_t epoch,
+                 std::uint64_t sequence,
+                 CommitSettings settings = {})
+      : task(task),
+        log(log),
+        topic(std::move(topic)),
+        writer{epoch, sequence},
+        settings(settings) {}
+
+  ~CommitPipeline() { *this->alive = false; }
+
+  CommitPipeline(const CommitPipeline&) = delete;
+  CommitPipeline& operator=(const CommitPipeline&) = delete;
+
+  /// True while an append waits for its answer.
+  bool Busy() const { return this->busy; }
+
+  /// Stores the entries. `stored(sent)` runs when they are durable, with the
+  /// boot-clock time of the append that succeeded; `lost` runs instead when
+  /// another planner has taken over.
+  void Store(std::vector<KeyedEntry> entries,
+             std::function<void(Instant)> stored,
+             std::function<void(KeyedLogFailure)> lost) {
+    this->busy = true;
+    ++this->writer.sequence;
+    this->entries = std::move(entries);
+    this->stored = std::move(stored);
+    this->lost = std::move(lost);
+    this->Send();
+  }
+
+ private:
+  void Send() {
+    const Instant sent = BootClock{}.Now();
+    KeyedAppend append;
+    append.topic = this->topic;
+    append.entries = this->entries;
+    append.writer = this->writer;
+    append.deadline = sent.After(this->settings.answer_ms);
+    this->log.Append(append, [this, alive = this->alive,
+                              sent](const KeyedAppendReply& reply) {
+      if (*alive) {
+        this->OnReply(reply.failure, sent);
+      }
+    });
+  }
+
+  void OnReply(KeyedLogFailure failure, Instant sent) {
+    if (failure == KeyedLogFailure::kNone) {
+      this->busy = false;
+      this->failing = false;
+      std::exchange(this->stored, {})(sent);
+      return;
+    }
+    if (failure == KeyedLogFailure::kFenced ||
+        failure == KeyedLogFailure::kEndMoved) {
+      std::exchange(this->lost, {})(failure);
+      return;
+    }
+    if (!std::exchange(this->failing, true)) {
+      Log(LogLevel::kWarning, "an append of the planner is repeated",
+          {{"reason", std::string(NameOf(failure))},
+           {"sequence", std::to_string(this->writer.sequence)}});
+    }
+    this->task.PostAt(BootClock{}.Now().After(this->settings.retry_ms),
+                      [this, alive = this->alive] {
+                        if (*alive) {
+                          this->Send();
+                        }
+                      });
+  }
+
+  Task& task;
+  LogStore& log;
+  std::string topic;
+  WriterIdentity writer;
+  CommitSettings settings;
+  bool busy = false;
+  bool failing = false;
+  std::vector<KeyedEntry> entries;
+  std::function<void(Instant)> stored;
+  std::function<void(KeyedLogFailure)> lost;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_COMMIT_PIPELINE_H_
--- /dev/null
+++ b/packages/gateway/gateway_core.h
@@ -0,0 +1,411 @@
+#ifndef PACKAGES_GATEWAY_GATEWAY_CORE_H_
+#define PACKAGES_GATEWAY_GATEWAY_CORE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "packages/core/hash.h"
+#include "packages/core/keyed_log.h"
+#include "packages/core/metrics.h"
+#include "packages/core/task.h"
+#include "packages/gateway/caller_api.h"
+#include "packages/gateway/configuration.h"
+#include "packages/gateway/job_view.h"
+#include "packages/gateway/planner_lease.h"
+#include "packages/gateway/planner_session.h"
+#include "packages/gateway/topic_follower.h"
+
+namespace carobrill::gateway {
+
+/// Where the configuration comes from, and how it is read.
+struct ConfigurationSource {
+  std::string topic;
+  std::string key;
+  /// Nothing when the bytes cannot be read.
+  std::function<std::optional<Configuration>(const std::string&)> decode;
+};
+
+/// Settings of a gateway, in ms.
+struct GatewaySettings {
+  InstanceId instance;
+  FollowerSettings follower;
+  PlannerLeaseSettings lease;
+  PlannerSessionSettings session;
+  CallerSettings caller;
+  /// Time between two looks at the planner's heartbeat.
+  std::int64_t tick_ms = 100;
+  /// A gap between two looks that shows that the process stood still.
+  std::int64_t standstill_ms = 600;
+  /// Age of the view after which the gateway asks for no new connections.
+  std::int64_t ready_age_ms = 2'600;
+  /// How long calls are served after a shutdown has begun: the platform stops
+  /// sending connections after two missed looks, one a second.
+  std::int64_t drain_ms = 2'600;
+};
+
+/// A gateway: serves clients from the log, and plans while it is the planner.
+template <KeyedLog LogStore>
+class GatewayCore {
+ public:
+  GatewayCore(Task& task,
+              LogStore& log,
+              GatewaySettings settings,
+              ConfigurationSource source,
+              ExchangeFunction exchange,
+              MetricsRegistry& metrics)
+      : task(task),
+        log(log),
+        settings(std::move(settings)),
+        source(std::move(source)),
+        exchange(std::move(exchange)),
+        planner_log(metrics),
+        planner_gauge(metrics.GetGauge("carobrill_planner",
+                                       "1 while this instance plans.")),
+        lease(this->settings.lease, RankOf(this->settings.instance)),
+        intake(task,
+               log,
+               kIntakeTopic,
+               this->settings.follower,
+               {[this](const KeyedRecord& record) { this->OnIntake(record); },
+                [this](const std::set<std::string>& keys) {
+                  this->view.KeepIntake(keys);
+                }}),
+        progress(
+            task,
+            log,
+            kProgressTopic,
+            this->settings.follower,
+            {[this](const KeyedRecord& record) { this->OnProgress(record); },
+             [](const std::set<std::string>&) {}}),
+        agents(task,
+               log,
+               kAgentTopic,
+               this->settings.follower,
+               {[this](const KeyedRecord& record) { this->OnAgent(record); },
+                [](const std::set<std::string>&) {}}),
+        operator_topic(
+            task,
+            log,
+            this->source.topic,
+            this->settings.follower,
+            {[this](const KeyedRecord& record) { this->OnOperator(record); },
+             [](const std::set<std::string>&) {}}),
+        api(task,
+            log,
+            this->view,
+            this->Sources(),
+            this->settings.caller,
+            metrics) {}
+
+  ~GatewayCore() { *this->alive = false; }
+
+  GatewayCore(const GatewayCore&) = delete;
+  GatewayCore& operator=(const GatewayCore&) = delete;
+
+  /// Starts to follow the log.
+  void Start() {
+    this->operator_topic.Start();
+    this->intake.Start();
+    this->progress.Start();
+    this->agents.Start();
+    this->Tick();
+  }
+
+  /// Answers a client's call; `respond` runs once.
+  void Handle(CallerRequest request, CallerResponder respond) {
+    this->api.Handle(std::move(request), std::move(respond));
+  }
+
+  /// True when new connections are welcome.
+  bool Ready() const {
+    const Instant now = BootClock{}.Now();
+    const Instant fresh_at =
+        std::min({this->intake.FreshAt(), this->progress.FreshAt(),
+                  this->operator_topic.FreshAt()});
+    return !this->draining && this->configuration.has_value() &&
+           this->intake.Loaded() && this->progress.Loaded() &&
+           now < fresh_at.After(this->settings.ready_age_ms);
+  }
+
+  /// Gives up the planner's duty and asks for no new connections; `drained`
+  /// runs when the time to serve the open ones has passed.
+  void BeginShutdown(std::function<void()> drained) {
+    this->draining = true;
+    if (this->session != nullptr) {
+      this->session->Resign([] {});
+    }
+    this->task.PostAt(BootClock{}.Now().After(this->settings.drain_ms),
+                      std::move(drained));
+  }
+
+  const JobView& View() const { return this->view; }
+  const Configuration* CurrentConfiguration() const {
+    return this->configuration.has_value() ? &*this->configuration : nullptr;
+  }
+  /// The planner's state while this instance plans; null otherwise.
+  const workload::JobPlanner* Planner() const {
+    return this->session == nullptr ? nullptr : &this->session->Planner();
+  }
+  const PlannerClaim& NewestClaim() const { return this->lease.Newest(); }
+
+ private:
+  static std::uint32_t RankOf(const InstanceId& instance) {
+    // Instances do not know each other; a few ranks spread most claims.
+    constexpr std::uint32_t kRanks = 4;
+    return static_cast<std::uint32_t>(std::hash<std::string>{}(instance.value) %
+                                      kRanks);
+  }
+
+  CallerSources Sources() {
+    return {[this] { return this->CurrentConfiguration(); },
+            [this] { return this->operator_topic.FreshAt(); },
+            [this] {
+              return std::min(this->intake.FreshAt(),
+                              this->progress.FreshAt());
+            },
+            [this](std::function<void(bool)> done) {
+              this->intake.Barrier(std::move(done));
+            }};
+  }
+
+  void OnIntake(const KeyedRecord& record) {
+    const IntakeChange change = this->view.ApplyIntake(record.entry);
+    if (this->session == nullptr || change == IntakeChange::kNone) {
+      return;
+    }
+    const bool accepted = change == IntakeChange::kAccepted;
+    const auto id = JobOfKey(record.entry.key,
+                             accepted ? kJobPrefix : kCancelPrefix);
+    if (!id.has_value()) {
+      return;
+    }
+    if (accepted) {
+      this->session->Submit(this->view.Find(*id)->submission);
+    }
+    if (!accepted || this->view.Find(*id)->cancel_requested) {
+      this->session->Cancel(*id);
+    }
+  }
+
+  void OnProgress(const KeyedRecord& record) {
+    if (record.entry.key != kPlannerKey) {
+      this->view.ApplyProgress(record.entry);
+      return;
+    }
+    const auto claim = DecodeClaim(record.entry.value);
+    if (!claim.has_value()) {
+      Log(LogLevel::kWarning, "a planner's claim is unreadable",
+          {{"offset", std::to_string(record.offset)}});
+      return;
+    }
+    if (claim->epoch != this->lease.Newest().epoch) {
+      Log(LogLevel::kInfo, "planner_changed",
+          {{"planner", claim->instance.value},
+           {"epoch", std::to_string(claim->epoch)},
+           {"offset", std::to_string(record.offset)}});
+    }
+    this->lease.Observe(*claim, BootClock{}.Now());
+  }
+
+  void OnAgent(const KeyedRecord& record) {
+    const InstanceId agent(record.entry.key);
+    const auto address = DecodeAgent(record.entry.value);
+    if (!address.has_value()) {
+      this->agent_addresses.erase(agent);
+      if (this->session != nullptr) {
+        this->session->RemoveAgent(agent);
+      }
+      return;
+    }
+    this->agent_addresses[agent] = address->rpc_address;
+    if (this->session != nullptr) {
+      this->session->SetAgent(agent, address->rpc_address);
+    }
+  }
+
+  // Versions only rise: a record that was read again changes nothing.
+  void OnOperator(const KeyedRecord& record) {
+    if (record.entry.key != this->source.key || record.entry.value.empty()) {
+      return;
+    }
+    auto read = this->source.decode(record.entry.value);
+    if (!read.has_value() ||
+        (this->configuration.has_value() &&
+         read->version <= this->configuration->version)) {
+      return;
+    }
+    Log(LogLevel::kInfo, "configuration_in_force",
+        {{"version", std::to_string(read->version)},
+         {"queues", std::to_string(read->queues.size())},
+         {"keys", std::to_string(read->account_of_key.size())},
+         {"offset", std::to_string(record.offset)}});
+    this->configuration = std::move(read);
+    if (this->session != nullptr) {
+      this->session->SetGuarantees(
+          this->configuration->guaranteed_accelerators);
+    }
+  }
+
+  void Tick() {
+    const Instant now = BootClock{}.Now();
+    const bool stood_still =
+        now >= this->ticked_at.After(this->settings.standstill_ms);
+    if (stood_still || this->progress.Failing() || !this->progress.Loaded()) {
+      this->lease.ObserveGap(now);
+    }
+    this->ticked_at = now;
+    const bool able = this->session == nullptr && !this->claiming &&
+                      !this->draining && this->progress.Loaded() &&
+                      this->intake.Loaded() && this->agents.Loaded() &&
+                      this->configuration.has_value();
+    if (able && this->lease.ShouldClaim(now)) {
+      this->Claim(std::max(this->lease.NextEpoch(), this->tried_epoch + 1));
+    }
+    this->task.PostAt(now.After(this->settings.tick_ms),
+                      [this, alive = this->alive] {
+                        if (*alive) {
+                          this->Tick();
+                        }
+                      });
+  }
+
+  // The claim takes effect only if nothing was written since this instance
+  // read the topic, so a new planner knows all that the earlier one stored.
+  void Claim(std::uint64_t epoch) {
+    this->claiming = true;
+    this->tried_epoch = epoch;
+    const Instant now = BootClock{}.Now();
+    KeyedAppend append;
+    append.topic = kProgressTopic;
+    append.entries = {
+        {kPlannerKey, EncodeClaim({this->settings.instance, epoch, 0, false})}};
+    append.expected_end = this->progress.Next();
+    append.writer = WriterIdentity{epoch, 0};
+    append.deadline = now.After(this->settings.follower.answer_ms);
+    this->log.Append(append, [this, alive = this->alive,
+                              epoch](const KeyedAppendReply& reply) {
+      if (*alive) {
+        this->OnClaim(epoch, reply.failure);
+      }
+    });
+  }
+
+  void OnClaim(std::uint64_t epoch, KeyedLogFailure failure) {
+    Log(LogLevel::kInfo, "planner_claim",
+        {{"epoch", std::to_string(epoch)},
+         {"outcome", std::string(NameOf(failure))}});
+    if (failure != KeyedLogFailure::kNone) {
+      this->claiming = false;
+      this->lease.ObserveGap(BootClock{}.Now());
+      return;
+    }
+    this->AwaitIntake(epoch);
+  }
+
+  // Runs that belong to a job which is not known yet would be stopped, so the
+  // term begins when everything accepted before the claim has been read.
+  void AwaitIntake(std::uint64_t epoch) {
+    this->intake.Barrier([this, alive = this->alive, epoch](bool complete) {
+      if (!*alive) {
+        return;
+      }
+      if (complete) {
+        this->BeginTerm(epoch);
+        return;
+      }
+      this->task.PostAt(
+          BootClock{}.Now().After(this->settings.follower.retry_ms),
+          [this, alive, epoch] {
+            if (*alive) {
+              this->AwaitIntake(epoch);
+            }
+          });
+    });
+  }
+
+  void BeginTerm(std::uint64_t epoch) {
+    this->claiming = false;
+    if (this->lease.Newest().epoch > epoch || this->draining) {
+      return;
+    }
+    this->session = std::make_unique<PlannerSession<LogStore>>(
+        this->task, this->log, this->settings.instance, epoch,
+        this->settings.session, this->exchange, this->planner_log,
+        [this, alive = this->alive](const std::string& reason) {
+          if (*alive) {
+            this->EndTerm(reason);
+          }
+        });
+    this->session->on_expired = [this](const JobId& id) { this->Forget(id); };
+    for (const auto& [id, job] : this->view.Jobs()) {
+      this->session->Load(job);
+    }
+    this->session->SetGuarantees(this->configuration->guaranteed_accelerators);
+    for (const auto& [agent, address] : this->agent_addresses) {
+      this->session->SetAgent(agent, address);
+    }
+    this->planner_gauge.Set(1);
+    Log(LogLevel::kInfo, "planner_term_begins",
+        {{"epoch", std::to_string(epoch)},
+         {"jobs", std::to_string(this->view.Jobs().size())},
+         {"agents", std::to_string(this->agent_addresses.size())}});
+    this->session->Start();
+  }
+
+  void EndTerm(const std::string& reason) {
+    Log(LogLevel::kWarning, "planner_term_ends",
+        {{"epoch", std::to_string(this->session->Epoch())},
+         {"reason", reason}});
+    this->session.reset();
+    this->planner_gauge.Set(0);
+    this->lease.ObserveGap(BootClock{}.Now());
+  }
+
+  void Forget(const JobId& id) {
+    KeyedAppend append;
+    append.topic = kIntakeTopic;
+    append.entries = {{JobKey(id), {}}, {CancelKey(id), {}}};
+    append.deadline =
+        BootClock{}.Now().After(this->settings.follower.answer_ms);
+    this->log.Append(append, [id](const KeyedAppendReply& reply) {
+      if (reply.failure != KeyedLogFailure::kNone) {
+        Log(LogLevel::kWarning, "a forgotten job stays in the log",
+            {{"job", id.value},
+             {"reason", std::string(NameOf(reply.failure))}});
+      }
+    });
+  }
+
+  Task& task;
+  LogStore& log;
+  GatewaySettings settings;
+  ConfigurationSource source;
+  ExchangeFunction exchange;
+  PlannerLog planner_log;
+  Gauge& planner_gauge;
+  PlannerLease lease;
+  JobView view;
+  std::optional<Configuration> configuration;
+  std::map<InstanceId, std::string> agent_addresses;
+  TopicFollower<LogStore> intake;
+  TopicFollower<LogStore> progress;
+  TopicFollower<LogStore> agents;
+  TopicFollower<LogStore> operator_topic;
+  CallerApi<LogStore> api;
+  std::unique_ptr<PlannerSession<LogStore>> session;
+  bool claiming = false;
+  bool draining = false;
+  std::uint64_t tried_epoch = 0;
+  Instant ticked_at;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_GATEWAY_CORE_H_
--- /dev/null
+++ b/packages/gateway/planner_log.cc
@@ -0,0 +1,57 @@
+#include "packages/gateway/planner_log.h"
+
+#include "packages/core/log.h"
+
+namespace carobrill::gateway {
+namespace {
+
+using workload::PlannerEvent;
+using workload::PlannerEventKind;
+
+constexpr double kMsPerSecond = 1000;
+
+std::string TaskText(const workload::TaskKey& task) {
+  return std::to_string(task.occurrence) + "." + std::to_string(task.step) +
+         "." + std::to_string(task.index);
+}
+
+}  // namespace
+
+PlannerLog::PlannerLog(MetricsRegistry& metrics)
+    : start_wait(metrics.GetHistogram(
+          "carobrill_task_start_wait_seconds",
+          "Time from when a task could run to its assignment.",
+          LatencyBounds())),
+      run_time(metrics.GetHistogram(
+          "carobrill_task_run_seconds",
+          "Time from the assignment of a run to the report of its end.",
+          LatencyBounds())) {
+  for (const auto& [kind, name] : NamesOf(PlannerEventKind{}).entries) {
+    this->counters[kind] = &metrics.GetCounter(
+        "carobrill_planner_events_total", "Decisions of the planner, by kind.",
+        {{"kind", std::string(name)}});
+  }
+}
+
+void PlannerLog::Write(const std::vector<PlannerEvent>& events,
+                       std::uint64_t epoch) {
+  for (const PlannerEvent& event : events) {
+    this->counters.at(event.kind)->Increment();
+    if (event.kind == PlannerEventKind::kAssigned) {
+      this->start_wait.Observe(static_cast<double>(event.age_ms) /
+                               kMsPerSecond);
+    } else if (event.kind == PlannerEventKind::kRunEnded) {
+      this->run_time.Observe(static_cast<double>(event.age_ms) / kMsPerSecond);
+    }
+    Log(LogLevel::kInfo, NameOf(event.kind),
+        {{"job", event.task.job.value},
+         {"task", TaskText(event.task)},
+         {"run", std::to_string(event.run)},
+         {"worker", event.worker.value},
+         {"detail", event.detail},
+         {"age_ms", std::to_string(event.age_ms)},
+         {"epoch", std::to_string(epoch)}});
+  }
+}
+
+}  // namespace carobrill::gateway
--- /dev/null
+++ b/packages/gateway/planner_records.cc
@@ -0,0 +1,42 @@
+#include "packages/gateway/planner_records.h"
+
+#include "packages/workload/workload.pb.h"
+
+namespace carobrill::gateway {
+
+namespace records = workload::records;
+
+std::string EncodeClaim(const PlannerClaim& claim) {
+  records::PlannerRecord record;
+  record.set_instance(claim.instance.value);
+  record.set_epoch(claim.epoch);
+  record.set_beat(claim.beat);
+  record.set_resigned(claim.resigned);
+  return record.SerializeAsString();
+}
+
+std::optional<PlannerClaim> DecodeClaim(const std::string& bytes) {
+  records::PlannerRecord record;
+  if (!record.ParseFromString(bytes) || record.epoch() == 0) {
+    return std::nullopt;
+  }
+  return PlannerClaim{InstanceId(record.instance()), record.epoch(),
+                      record.beat(), record.resigned()};
+}
+
+std::string EncodeAgent(const AgentAddress& agent) {
+  records::AgentRecord record;
+  record.set_rpc_address(agent.rpc_address);
+  record.set_incarnation(agent.incarnation);
+  return record.SerializeAsString();
+}
+
+std::optional<AgentAddress> DecodeAgent(const std::string& bytes) {
+  records::AgentRecord record;
+  if (!record.ParseFromString(bytes) || record.rpc_address().empty()) {
+    return std::nullopt;
+  }
+  return AgentAddress{record.rpc_address(), record.incarnation()};
+}
+
+}  // namespace carobrill::gateway
--- /dev/null
+++ b/packages/gateway/planner_session.h
@@ -0,0 +1,354 @@
+#ifndef PACKAGES_GATEWAY_PLANNER_SESSION_H_
+#define PACKAGES_GATEWAY_PLANNER_SESSION_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "packages/core/keyed_log.h"
+#include "packages/core/task.h"
+#include "packages/gateway/commit_pipeline.h"
+#include "packages/gateway/planner_log.h"
+#include "packages/gateway/planner_records.h"
+#include "packages/gateway/topics.h"
+#include "packages/gateway/worker_link.h"
+#include "packages/workload/job_planner.h"
+#include "packages/workload/record_codec.h"
+
+namespace carobrill::gateway {
+
+/// Times of a planner's duty, in ms.
+struct PlannerSessionSettings {
+  std::int64_t beat_ms = 400;
+  /// How long agents may go on after the planner's last stored heartbeat: the
+  /// longest outage of the store that running work has to survive.
+  std::int64_t store_lease_ms = 15'000;
+  /// Longest time between two runs of the planner.
+  std::int64_t tick_ms = 200;
+  WorkerLinkSettings link;
+  workload::JobPlannerSettings planner;
+};
+
+/// One term of this instance as the planner: plans, stores what changed, and
+/// sends the agents what is stored.
+template <KeyedLog LogStore>
+class PlannerSession {
+ public:
+  /// `on_lost` runs once, posted to the task, when another planner took over.
+  PlannerSession(Task& task,
+                 LogStore& log,
+                 InstanceId instance,
+                 std::uint64_t epoch,
+                 PlannerSessionSettings settings,
+                 ExchangeFunction exchange,
+                 PlannerLog& planner_log,
+                 std::function<void(std::string reason)> on_lost)
+      : task(task),
+        instance(std::move(instance)),
+        epoch(epoch),
+        settings(settings),
+        exchange(std::move(exchange)),
+        planner_log(planner_log),
+        on_lost(std::move(on_lost)),
+        planner(settings.planner),
+        commits(task, log, kProgressTopic, epoch, /*sequence=*/0) {
+    const Instant now = BootClock{}.Now();
+    this->stored_at = now;
+    // A planner before this one may have granted leases until then.
+    this->earlier_leases_end = now.After(settings.store_lease_ms +
+                                         settings.link.lease_ms);
+    this->planner.SetUnknownWorkersLostAt(this->earlier_leases_end);
+  }
+
+  ~PlannerSession() { *this->alive = false; }
+
+  PlannerSession(const PlannerSession&) = delete;
+  PlannerSession& operator=(const PlannerSession&) = delete;
+
+  std::uint64_t Epoch() const { return this->epoch; }
+  const workload::JobPlanner& Planner() const { return this->planner; }
+
+  /// @{
+  /// What the log holds when the term begins, and what comes to it.
+  void Load(workload::Job job) {
+    const bool cancel =
+        job.cancel_requested && !workload::IsFinal(job.phase);
+    const JobId id = job.submission.id;
+    this->planner.Load(std::move(job));
+    if (cancel) {
+      this->Cancel(id);
+    }
+  }
+  void Submit(workload::Submission submission) {
+    this->planner.Submit(std::move(submission));
+    this->Wake();
+  }
+  void Cancel(const JobId& id) {
+    this->planner.Cancel(id, this->Time());
+    this->Wake();
+  }
+  void SetGuarantees(std::map<AccountId, std::int64_t> guarantees) {
+    this->planner.SetGuarantees(std::move(guarantees));
+    this->Wake();
+  }
+  void SetAgent(const InstanceId& agent, const std::string& address) {
+    const auto known = this->links.find(agent);
+    if (known != this->links.end() && known->second->Address() == address) {
+      return;
+    }
+    this->planner.ExpectWorker(agent, this->earlier_leases_end);
+    this->links[agent] = std::make_unique<WorkerLink>(
+        this->task, agent, address, this->epoch, this->settings.link,
+        this->exchange, this->LinkCallbacks());
+  }
+  void RemoveAgent(const InstanceId& agent) {
+    this->links.erase(agent);
+    this->planner.ObserveUnreachable(agent);
+  }
+  /// @}
+
+  /// Starts to plan.
+  void Start() {
+    this->Tick();
+    this->Wake();
+  }
+
+  /// Ends the term in the log, so that another instance takes over at once;
+  /// `done` runs when that is stored or cannot be.
+  void Resign(std::function<void()> done) {
+    this->resigned = std::move(done);
+    this->Wake();
+  }
+
+ private:
+  workload::TransitionTime Time() const {
+    return {BootClock{}.Now(), WallClock{}.Now()};
+  }
+
+  void Tick() {
+    this->Wake();
+    this->task.PostAt(BootClock{}.Now().After(this->settings.tick_ms),
+                      [this, alive = this->alive] {
+                        if (*alive) {
+                          this->Tick();
+                        }
+                      });
+  }
+
+  // Several events of one moment lead to one run of the planner.
+  void Wake() {
+    if (std::exchange(this->woken, true)) {
+      return;
+    }
+    this->task.Post([this, alive = this->alive] {
+      if (*alive) {
+        this->woken = false;
+        this->Run();
+      }
+    });
+  }
+
+  void Run() {
+    if (this->ended) {
+      return;
+    }
+    if (!this->resigned) {
+      this->planner.Plan(this->Time());
+    }
+    this->planner_log.Write(this->planner.TakeEvents(), this->epoch);
+    this->Flush();
+    this->PushOrders();
+  }
+
+  void Flush() {
+    if (this->commits.Busy() || this->ended) {
+      return;
+    }
+    const Instant now = BootClock{}.Now();
+    const std::uint64_t commit = this->planner.NextCommit();
+    std::vector<KeyedEntry> entries;
+    for (const JobId& id : this->planner.TakeChanges()) {
+      const auto job = this->planner.Jobs().find(id);
+      if (job != this->planner.Jobs().end()) {
+        entries.push_back({JobKey(id), workload::EncodeProgress(job->second)});
+      }
+    }
+    for (const JobId& id : this->planner.TakeExpired(WallClock{}.Now())) {
+      entries.push_back({JobKey(id), {}});
+      this->on_expired(id);
+    }
+    const bool resigning = static_cast<bool>(this->resigned);
+    if (now >= this->beat_at || resigning) {
+      entries.push_back(
+          {kPlannerKey, EncodeClaim({this->instance, this->epoch,
+                                     ++this->beat, resigning})});
+      this->beat_at = now.After(this->settings.beat_ms);
+    }
+    if (entries.empty()) {
+      this->committed = commit;
+      return;
+    }
+    this->commits.Store(
+        std::move(entries),
+        [this, commit, resigning](Instant sent) {
+          this->OnStored(commit, sent, resigning);
+        },
+        [this](KeyedLogFailure failure) {
+          this->End(std::string(NameOf(failure)));
+        });
+  }
+
+  void OnStored(std::uint64_t commit, Instant sent, bool resigning) {
+    this->committed = commit;
+    this->stored_at = sent;
+    if (resigning) {
+      this->End("resigned");
+      return;
+    }
+    this->Flush();
+    this->PushOrders();
+  }
+
+  void End(const std::string& reason) {
+    if (std::exchange(this->ended, true)) {
+      return;
+    }
+    this->links.clear();
+    this->task.Post([on_lost = this->on_lost, reason,
+                     resigned = std::exchange(this->resigned, {})] {
+      on_lost(reason);
+      if (resigned) {
+        resigned();
+      }
+    });
+  }
+
+  void PushOrders() {
+    if (this->ended) {
+      return;
+    }
+    auto orders = this->planner.Orders(this->committed);
+    const Instant limit =
+        this->stored_at.After(this->settings.store_lease_ms);
+    for (auto& [agent, link] : this->links) {
+      link->SetAuthorityLimit(limit);
+      link->SetOrders(std::move(orders[agent]), this->AcknowledgedEnd(agent));
+    }
+  }
+
+  /// Highest end of the agent's worker that is stored with all before it.
+  std::uint64_t AcknowledgedEnd(const InstanceId& agent) {
+    auto& seen = this->ends[agent];
+    while (!seen.waiting.empty() &&
+           seen.waiting.front().second <= this->committed) {
+      seen.acknowledged =
+          std::max(seen.acknowledged, seen.waiting.front().first);
+      seen.waiting.erase(seen.waiting.begin());
+    }
+    return seen.acknowledged;
+  }
+
+  WorkerLinkCallbacks LinkCallbacks() {
+    return {[this](const InstanceId& agent, const rpc::ExchangeReply& reply,
+                   Instant lease_ends) {
+              this->OnReport(agent, reply, lease_ends);
+            },
+            [this](const InstanceId& agent) {
+              this->planner.ObserveUnreachable(agent);
+              this->Wake();
+            },
+            [this](std::uint64_t other) {
+              this->task.Post([this, alive = this->alive, other] {
+                if (*alive) {
+                  this->End("an agent follows epoch " + std::to_string(other));
+                }
+              });
+            }};
+  }
+
+  void OnReport(const InstanceId& agent,
+                const rpc::ExchangeReply& reply,
+                Instant lease_ends) {
+    const auto time = this->Time();
+    const auto description = DescriptionIn(agent, reply);
+    auto& seen = this->ends[agent];
+    if (seen.life != description.life) {
+      seen = {};
+      seen.life = description.life;
+    }
+    this->planner.ObserveWorker(agent, description, lease_ends, time);
+    std::vector<workload::RunningTask> running;
+    for (const auto& run : reply.running()) {
+      running.push_back({FromMessage(run.task()), run.run(), run.percent(),
+                         run.checkpoint(), run.usage()});
+    }
+    this->planner.ObserveRunning(agent, running, time.now);
+    for (const auto& ended : reply.ended()) {
+      this->OnEnd(agent, ended, time, seen);
+    }
+    this->Wake();
+  }
+
+  struct SeenEnds {
+    workload::WorkerLife life;
+    std::uint64_t highest = 0;
+    std::uint64_t acknowledged = 0;
+    /// Ends and the commits that store them, in order.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> waiting;
+  };
+
+  void OnEnd(const InstanceId& agent,
+             const rpc::EndedRun& ended,
+             const workload::TransitionTime& time,
+             SeenEnds& seen) {
+    if (ended.number() != 0 && ended.number() <= seen.highest) {
+      return;
+    }
+    const auto end = static_cast<workload::RunEnd>(
+        std::min(ended.end(),
+                 static_cast<std::uint32_t>(workload::RunEnd::kWorkerLost)));
+    this->planner.ObserveEnd(agent,
+                             {FromMessage(ended.task()), ended.run(), end,
+                              ended.checkpoint()},
+                             time);
+    if (ended.number() != 0) {
+      seen.highest = ended.number();
+      seen.waiting.emplace_back(ended.number(), this->planner.NextCommit());
+    }
+  }
+
+  Task& task;
+  InstanceId instance;
+  std::uint64_t epoch;
+  PlannerSessionSettings settings;
+  ExchangeFunction exchange;
+  PlannerLog& planner_log;
+  std::function<void(std::string)> on_lost;
+  workload::JobPlanner planner;
+  CommitPipeline<LogStore> commits;
+  std::map<InstanceId, std::unique_ptr<WorkerLink>> links;
+  std::map<InstanceId, SeenEnds> ends;
+  std::uint64_t committed = 0;
+  std::uint64_t beat = 0;
+  /// Boot clock: when the newest stored append was sent.
+  Instant stored_at;
+  Instant earlier_leases_end;
+  Instant beat_at;
+  bool woken = false;
+  bool ended = false;
+  std::function<void()> resigned;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+ public:
+  /// Runs when a job is forgotten, so that its submission can be removed.
+  std::function<void(const JobId&)> on_expired = [](const JobId&) {};
+};
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_PLANNER_SESSION_H_
--- /dev/null
+++ b/packages/gateway/topics.h
@@ -0,0 +1,46 @@
+#ifndef PACKAGES_GATEWAY_TOPICS_H_
+#define PACKAGES_GATEWAY_TOPICS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "packages/core/ids.h"
+
+namespace carobrill::gateway {
+
+/// Topic of accepted jobs and cancellations; written by gateways.
+inline constexpr const char* kIntakeTopic = "keyed.intake";
+
+/// Topic of the progress of jobs; written by the planner only.
+inline constexpr const char* kProgressTopic = "keyed.progress";
+
+/// Topic of the addresses of worker agents; written by the agents.
+inline constexpr const char* kAgentTopic = "keyed.agents";
+
+/// Key of the planner's claim in the progress topic.
+inline constexpr const char* kPlannerKey = "planner";
+
+inline constexpr std::string_view kJobPrefix = "job/";
+inline constexpr std::string_view kCancelPrefix = "cancel/";
+
+inline std::string JobKey(const JobId& id) {
+  return std::string(kJobPrefix) + id.value;
+}
+
+inline std::string CancelKey(const JobId& id) {
+  return std::string(kCancelPrefix) + id.value;
+}
+
+/// The job that a key with that prefix names.
+inline std::optional<JobId> JobOfKey(std::string_view key,
+                                     std::string_view prefix) {
+  if (!key.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  return JobId(std::string(key.substr(prefix.size())));
+}
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_TOPICS_H_
--- /dev/null
+++ b/packages/gateway/worker_link.cc
@@ -0,0 +1,197 @@
+#include "packages/gateway/worker_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "packages/core/log.h"
+
+namespace carobrill::gateway {
+namespace {
+
+/// Clocks may differ in speed by 2 %; the rest covers rounding and the way of
+/// a lease from the agent to its worker.
+constexpr std::int64_t kDriftPercent = 3;
+constexpr std::int64_t kLeaseMarginMs = 150;
+
+bool SameOrders(const std::vector<workload::TaskOrder>& a,
+                const std::vector<workload::TaskOrder>& b) {
+  return std::ranges::equal(a, b, [](const auto& x, const auto& y) {
+    return x.task == y.task && x.run == y.run && x.stop == y.stop;
+  });
+}
+
+}  // namespace
+
+rpc::TaskName ToMessage(const workload::TaskKey& task) {
+  rpc::TaskName message;
+  message.set_job(task.job.value);
+  message.set_occurrence(task.occurrence);
+  message.set_step(task.step);
+  message.set_index(task.index);
+  return message;
+}
+
+workload::TaskKey FromMessage(const rpc::TaskName& task) {
+  return {JobId(task.job()), task.occurrence(), task.step(), task.index()};
+}
+
+workload::WorkerDescription DescriptionIn(const InstanceId& agent,
+                                          const rpc::ExchangeReply& reply) {
+  workload::WorkerDescription description;
+  description.life = {agent, WorkerId(reply.worker().id()),
+                      reply.worker().born_unix_ms()};
+  description.availability = static_cast<workload::WorkerAvailability>(
+      std::min(reply.availability(),
+               static_cast<std::uint32_t>(
+                   workload::WorkerAvailability::kDraining)));
+  description.service = ServiceId(reply.service());
+  description.failure_domain = FailureDomainId(reply.failure_domain());
+  description.rack = RackId(reply.rack());
+  description.labels.insert(reply.labels().begin(), reply.labels().end());
+  description.capacity = {reply.cpu_millis(), reply.memory_mb(),
+                          reply.accelerators()};
+  return description;
+}
+
+WorkerLink::WorkerLink(Task& task,
+                       InstanceId agent,
+                       std::string address,
+                       std::uint64_t epoch,
+                       WorkerLinkSettings settings,
+                       ExchangeFunction exchange,
+                       WorkerLinkCallbacks callbacks)
+    : task(task),
+      agent(std::move(agent)),
+      address(std::move(address)),
+      epoch(epoch),
+      settings(settings),
+      exchange(std::move(exchange)),
+      callbacks(std::move(callbacks)) {
+  this->Send(0);
+}
+
+WorkerLink::~WorkerLink() {
+  *this->alive = false;
+}
+
+void WorkerLink::SetOrders(std::vector<workload::TaskOrder> orders,
+                           std::uint64_t acknowledged_end) {
+  const bool same = SameOrders(this->orders, orders) &&
+                    acknowledged_end == this->acknowledged_end;
+  this->orders = std::move(orders);
+  this->acknowledged_end = acknowledged_end;
+  if (!same && this->connected) {
+    this->Send(this->settings.wait_ms);
+  }
+}
+
+// Authority is a time of the agent's own clock, so that a message that was held
+// up on its way gives no more of it than one that was not.
+void WorkerLink::Grant(rpc::ExchangeRequest& request, Instant now) {
+  const std::int64_t granted_ms =
+      std::min(this->settings.lease_ms, this->authority_limit.RemainingMs(now));
+  if (!this->connected || granted_ms <= 0) {
+    return;
+  }
+  request.set_authority_until_agent_ms(now.ms + this->clock_offset_ms +
+                                       granted_ms);
+  this->lease_ends = std::max(
+      this->lease_ends, now.After(granted_ms * (100 + kDriftPercent) / 100 +
+                                  kLeaseMarginMs));
+}
+
+void WorkerLink::Send(std::int64_t wait_ms) {
+  const Instant now = BootClock{}.Now();
+  rpc::ExchangeRequest request;
+  request.set_epoch(this->epoch);
+  request.set_sequence(++this->sequence);
+  *request.mutable_worker() = this->worker;
+  request.set_acknowledged_end(this->acknowledged_end);
+  request.set_wait_ms(wait_ms);
+  request.set_seen_report(this->seen_report);
+  this->Grant(request, now);
+  for (const workload::TaskOrder& order : this->orders) {
+    auto* message = request.add_orders();
+    *message->mutable_task() = ToMessage(order.task);
+    message->set_run(order.run);
+    message->set_stop(order.stop);
+    message->set_started(order.started);
+    message->set_payload(order.payload);
+    message->set_checkpoint(order.checkpoint);
+  }
+  this->exchange(this->address, request,
+                 now.After(wait_ms + this->settings.answer_ms),
+                 [this, alive = this->alive, sequence = this->sequence](
+                     const rpc::RpcReply<rpc::ExchangeReply>& reply) {
+                   if (*alive) {
+                     this->OnReply(reply, sequence);
+                   }
+                 });
+}
+
+void WorkerLink::OnReply(const rpc::RpcReply<rpc::ExchangeReply>& reply,
+                         std::uint64_t sequence) {
+  const bool newest = sequence == this->sequence;
+  if (!reply.Ok()) {
+    if (newest) {
+      this->OnFailure(reply);
+    }
+    return;
+  }
+  if (!reply.value.accepted()) {
+    this->callbacks.on_superseded(reply.value.highest_epoch());
+    return;
+  }
+  this->Note(reply.value);
+  if (!*this->alive) {
+    return;
+  }
+  if (newest && sequence == this->sequence) {
+    this->Send(this->settings.wait_ms);
+  }
+}
+
+void WorkerLink::OnFailure(const rpc::RpcReply<rpc::ExchangeReply>& reply) {
+  const bool first = !this->ever_failed || this->connected;
+  this->ever_failed = true;
+  this->connected = false;
+  if (first) {
+    Log(LogLevel::kWarning, "dependency lost",
+        {{"dependency", "agent"},
+         {"agent", this->agent.value},
+         {"reason", std::string(NameOf(reply.failure))},
+         {"detail", reply.detail}});
+  }
+  this->callbacks.on_unreachable(this->agent);
+  this->task.PostAt(BootClock{}.Now().After(this->settings.retry_ms),
+                    [this, alive = this->alive, sequence = this->sequence] {
+                      if (*alive && sequence == this->sequence) {
+                        this->Send(0);
+                      }
+                    });
+}
+
+void WorkerLink::Note(const rpc::ExchangeReply& reply) {
+  const bool other_process =
+      reply.agent_incarnation() != this->agent_incarnation;
+  if (!other_process && reply.report() < this->seen_report) {
+    return;
+  }
+  if (!this->connected && this->ever_failed) {
+    Log(LogLevel::kInfo, "dependency regained",
+        {{"dependency", "agent"}, {"agent", this->agent.value}});
+  }
+  this->agent_incarnation = reply.agent_incarnation();
+  this->seen_report = reply.report();
+  // The reply was on its way for a while, so this is never too much.
+  this->clock_offset_ms = reply.agent_clock_ms() - BootClock{}.Now().ms;
+  this->connected = true;
+  if (reply.worker().id() != this->worker.id() ||
+      reply.worker().born_unix_ms() != this->worker.born_unix_ms()) {
+    this->worker = reply.worker();
+    this->acknowledged_end = 0;
+  }
+  this->callbacks.on_report(this->agent, reply, this->lease_ends);
+}
+
+}  // namespace carobrill::gateway
--- /dev/null
+++ b/packages/gateway/worker_link.h
@@ -0,0 +1,112 @@
+#ifndef PACKAGES_GATEWAY_WORKER_LINK_H_
+#define PACKAGES_GATEWAY_WORKER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "packages/core/ids.h"
+#include "packages/core/task.h"
+#include "packages/rpc/rpc_types.h"
+#include "packages/rpc/worker_control.pb.h"
+#include "packages/workload/job_planner.h"
+
+namespace carobrill::gateway {
+
+/// Times of the exchange with an agent, in ms.
+struct WorkerLinkSettings {
+  /// How long an agent's leases last after it last heard the planner. The
+  /// platform allows at most its own bound for holding a task.
+  std::int64_t lease_ms = 5'500;
+  /// How long an exchange waits for news; several fit into a lease.
+  std::int64_t wait_ms = 1'000;
+  /// Longest answer beyond the wait.
+  std::int64_t answer_ms = 800;
+  std::int64_t retry_ms = 200;
+};
+
+/// Sends one exchange; set by the owner.
+using ExchangeFunction =
+    std::function<void(const std::string& address,
+                       const rpc::ExchangeRequest& request,
+                       Instant deadline,
+                       rpc::RpcCallback<rpc::ExchangeReply> callback)>;
+
+/// What a link tells the planner's session.
+struct WorkerLinkCallbacks {
+  /// A report of the agent; `lease_ends` as in JobPlanner::ObserveWorker.
+  std::function<void(const InstanceId&,
+                     const rpc::ExchangeReply&,
+                     Instant lease_ends)>
+      on_report;
+  std::function<void(const InstanceId&)> on_unreachable;
+  /// The agent follows a planner with a higher epoch.
+  std::function<void(std::uint64_t epoch)> on_superseded;
+};
+
+/// The planner's exchange with one agent: always one call that waits for news,
+/// and a further one at once when the orders change.
+class WorkerLink {
+ public:
+  WorkerLink(Task& task,
+             InstanceId agent,
+             std::string address,
+             std::uint64_t epoch,
+             WorkerLinkSettings settings,
+             ExchangeFunction exchange,
+             WorkerLinkCallbacks callbacks);
+  ~WorkerLink();
+
+  WorkerLink(const WorkerLink&) = delete;
+  WorkerLink& operator=(const WorkerLink&) = delete;
+
+  const std::string& Address() const { return this->address; }
+
+  /// Replaces the orders and the acknowledged end; sends them if they changed.
+  void SetOrders(std::vector<workload::TaskOrder> orders,
+                 std::uint64_t acknowledged_end);
+
+  /// Boot clock: the planner may give the agent authority up to then.
+  void SetAuthorityLimit(Instant limit) { this->authority_limit = limit; }
+
+ private:
+  void Send(std::int64_t wait_ms);
+  void OnReply(const rpc::RpcReply<rpc::ExchangeReply>& reply,
+               std::uint64_t sequence);
+  void OnFailure(const rpc::RpcReply<rpc::ExchangeReply>& reply);
+  void Note(const rpc::ExchangeReply& reply);
+  void Grant(rpc::ExchangeRequest& request, Instant now);
+
+  Task& task;
+  InstanceId agent;
+  std::string address;
+  std::uint64_t epoch;
+  WorkerLinkSettings settings;
+  ExchangeFunction exchange;
+  WorkerLinkCallbacks callbacks;
+  std::vector<workload::TaskOrder> orders;
+  std::uint64_t acknowledged_end = 0;
+  std::uint64_t sequence = 0;
+  bool connected = false;
+  bool ever_failed = false;
+  /// Agent clock minus boot clock of this process, never above the true value.
+  std::int64_t clock_offset_ms = 0;
+  std::uint64_t agent_incarnation = 0;
+  std::uint64_t seen_report = 0;
+  rpc::WorkerIdentity worker;
+  Instant lease_ends;
+  Instant authority_limit;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+/// Translations between the messages and the planner's types.
+rpc::TaskName ToMessage(const workload::TaskKey& task);
+workload::TaskKey FromMessage(const rpc::TaskName& task);
+workload::WorkerDescription DescriptionIn(const InstanceId& agent,
+                                          const rpc::ExchangeReply& reply);
+
+}  // namespace carobrill::gateway
+
+#endif  // PACKAGES_GATEWAY_WORKER_LINK_H_
--- /dev/null
+++ b/packages/worker_agent/run_table.cc
@@ -0,0 +1,218 @@
+#include "packages/worker_agent/run_table.h"
+
+#include <algorithm>
+
+namespace carobrill::worker_agent {
+
+using workload::RunEnd;
+
+namespace {
+
+RunKey KeyOf(const DesiredRun& run) {
+  return {run.task, run.run};
+}
+
+template <typename Listed>
+bool Contains(const std::vector<Listed>& list, const RunKey& run) {
+  return std::ranges::any_of(list, [&](const Listed& entry) {
+    return entry.task == run.first && entry.run == run.second;
+  });
+}
+
+bool SameRuns(const std::vector<ListedRun>& a,
+              const std::vector<ListedRun>& b) {
+  return std::ranges::equal(a, b, [](const auto& x, const auto& y) {
+    return x.task == y.task && x.run == y.run;
+  });
+}
+
+bool SameEnds(const std::vector<ListedEnd>& a,
+              const std::vector<ListedEnd>& b) {
+  return std::ranges::equal(a, b, {}, &ListedEnd::number, &ListedEnd::number);
+}
+
+}  // namespace
+
+void RunTable::Reset() {
+  this->wanted.clear();
+  this->running.clear();
+  this->ended.clear();
+  this->unordered.clear();
+  ++this->version;
+}
+
+void RunTable::SetDesired(std::vector<DesiredRun> desired, Instant now) {
+  std::map<RunKey, State> next;
+  for (DesiredRun& run : desired) {
+    const RunKey key = KeyOf(run);
+    State state;
+    const auto known = this->wanted.find(key);
+    if (known != this->wanted.end()) {
+      state = std::move(known->second);
+      // The payload is sent only until the run has been shown.
+      if (!run.started) {
+        state.desired = std::move(run);
+      } else {
+        state.desired.stop = run.stop;
+        state.desired.started = true;
+      }
+    } else {
+      state.desired = std::move(run);
+      state.retry_at = now;
+    }
+    next.emplace(key, std::move(state));
+  }
+  this->wanted = std::move(next);
+}
+
+bool RunTable::Listed(const RunKey& run) const {
+  return Contains(this->running, run) || Contains(this->ended, run);
+}
+
+// A start whose answer is missing may still be carried out, so a run that is
+// not wanted any more is stopped before its end is reported: the worker then
+// refuses the late start.
+DueOrders RunTable::TakeDue(Instant now) {
+  DueOrders due;
+  for (auto& [key, state] : this->wanted) {
+    if (state.ended || Contains(this->ended, key) || now < state.retry_at) {
+      continue;
+    }
+    const bool unsent_while_leaving = this->draining && !state.confirmed &&
+                                      !state.desired.started;
+    if (unsent_while_leaving && !state.start_sent) {
+      this->End(state, RunEnd::kRefused);
+      continue;
+    }
+    if (state.desired.stop || unsent_while_leaving) {
+      if (!state.stop_open && !state.stop_done) {
+        state.stop_open = true;
+        due.stops.push_back(key);
+      }
+      continue;
+    }
+    if (!state.desired.started && !state.confirmed && !state.start_open &&
+        !Contains(this->running, key)) {
+      state.start_open = true;
+      state.start_sent = true;
+      due.starts.push_back(state.desired);
+    }
+  }
+  for (auto& [key, seen] : this->unordered) {
+    if (now >= seen.After(this->settings.unordered_ms)) {
+      seen = now;
+      due.stops.push_back(key);
+    }
+  }
+  return due;
+}
+
+void RunTable::OnStart(const RunKey& run, OrderResult result, Instant now) {
+  const auto found = this->wanted.find(run);
+  if (found == this->wanted.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.start_open = false;
+  switch (result) {
+    case OrderResult::kDone:
+      state.confirmed = true;
+      return;
+    case OrderResult::kNoRoom:
+    case OrderResult::kTicketRefused:
+    case OrderResult::kMalformed:
+    case OrderResult::kUnhealthy:
+      // An earlier attempt without an answer may still be carried out.
+      if (state.unanswered) {
+        state.desired.stop = true;
+        state.retry_at = now;
+      } else {
+        this->End(state, RunEnd::kRefused);
+      }
+      return;
+    case OrderResult::kOutdated:
+      if (!this->Listed(run)) {
+        this->End(state, RunEnd::kRefused);
+      }
+      return;
+    default:
+      state.unanswered =
+          state.unanswered || result == OrderResult::kNoAnswer;
+      state.retry_at = now.After(this->settings.retry_ms);
+      return;
+  }
+}
+
+void RunTable::OnStop(const RunKey& run, OrderResult result, Instant now) {
+  const auto found = this->wanted.find(run);
+  if (found == this->wanted.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.stop_open = false;
+  const bool settled =
+      result == OrderResult::kDone || result == OrderResult::kOutdated;
+  if (!settled) {
+    state.retry_at = now.After(this->settings.retry_ms);
+    return;
+  }
+  state.stop_done = true;
+  state.stop_done_at = now;
+}
+
+void RunTable::OnLists(const LeaseReply& reply, Instant sent, Instant now) {
+  if (!SameRuns(this->running, reply.running) ||
+      !SameEnds(this->ended, reply.ended)) {
+    ++this->version;
+  }
+  this->running = reply.running;
+  this->ended = reply.ended;
+  for (auto& [key, state] : this->wanted) {
+    if (Contains(this->running, key)) {
+      state.confirmed = true;
+    } else if (state.stop_done && !state.ended && sent >= state.stop_done_at &&
+               !Contains(this->ended, key)) {
+      // Stopped before it had started; a late start is refused from now on.
+      this->End(state, state.confirmed ? RunEnd::kStopped : RunEnd::kRefused);
+    }
+  }
+  std::map<RunKey, Instant> still;
+  for (const ListedRun& run : this->running) {
+    const RunKey key{run.task, run.run};
+    if (!this->wanted.contains(key)) {
+      const auto seen = this->unordered.find(key);
+      still.emplace(key, seen == this->unordered.end() ? now : seen->second);
+    }
+  }
+  this->unordered = std::move(still);
+}
+
+void RunTable::OnWorkerGone() {
+  this->running.clear();
+  this->ended.clear();
+  this->unordered.clear();
+  for (auto& [key, state] : this->wanted) {
+    this->End(state, RunEnd::kWorkerLost);
+  }
+  ++this->version;
+}
+
+std::vector<ListedEnd> RunTable::Ends() const {
+  std::vector<ListedEnd> ends = this->ended;
+  for (const auto& [key, state] : this->wanted) {
+    if (state.ended && !Contains(this->ended, key)) {
+      ends.push_back({0, key.first, key.second, state.end, {}});
+    }
+  }
+  return ends;
+}
+
+void RunTable::End(State& state, RunEnd end) {
+  if (!state.ended) {
+    state.ended = true;
+    state.end = end;
+    ++this->version;
+  }
+}
+
+}  // namespace carobrill::worker_agent
--- /dev/null
+++ b/packages/worker_agent/worker_agent.h
@@ -0,0 +1,495 @@
+#ifndef PACKAGES_WORKER_AGENT_WORKER_AGENT_H_
+#define PACKAGES_WORKER_AGENT_WORKER_AGENT_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "packages/core/log.h"
+#include "packages/core/metrics.h"
+#include "packages/core/task.h"
+#include "packages/rpc/rpc_types.h"
+#include "packages/rpc/worker_control.pb.h"
+#include "packages/worker_agent/run_table.h"
+#include "packages/worker_agent/worker_port.h"
+
+namespace carobrill::worker_agent {
+
+/// Times of an agent, in ms.
+struct WorkerAgentSettings {
+  /// How long the worker's lists are waited for.
+  std::int64_t list_wait_ms = 500;
+  /// Pause before the lists are asked for again while ends wait to be stored.
+  std::int64_t ack_wait_ms = 60;
+  /// Longest answer of the worker beyond a wait. A late order is repeated,
+  /// which has no further effect.
+  std::int64_t answer_ms = 400;
+  std::int64_t retry_ms = 150;
+  /// Refused connections in a row after which the worker's process is gone.
+  std::uint32_t refused_connections = 2;
+  RunTableSettings runs;
+};
+
+/// Stands beside one worker: passes on the planner's orders, keeps the leases
+/// while the planner is heard, and reports what runs and what ended.
+template <WorkerPort Port>
+class WorkerAgent {
+ public:
+  /// `port` must outlive the agent. `incarnation` is the process's start.
+  WorkerAgent(Task& task,
+              Port& port,
+              InstanceId id,
+              std::uint64_t incarnation,
+              WorkerAgentSettings settings,
+              MetricsRegistry& metrics)
+      : task(task),
+        port(port),
+        id(std::move(id)),
+        incarnation(incarnation),
+        settings(settings),
+        metrics(metrics),
+        runs(settings.runs),
+        fence(static_cast<std::uint64_t>(WallClock{}.Now().ms)) {}
+
+  ~WorkerAgent() { *this->alive = false; }
+
+  WorkerAgent(const WorkerAgent&) = delete;
+  WorkerAgent& operator=(const WorkerAgent&) = delete;
+
+  /// Starts the loop that asks the worker for its lists.
+  void Start() { this->HoldAfter(0); }
+
+  /// A heartbeat of the worker. One of an earlier life, or one that was
+  /// overtaken by a later one, changes nothing.
+  void OnHeartbeat(const WorkerHeartbeat& heartbeat) {
+    const auto& life = heartbeat.description.life;
+    if (life.born_ms < this->description.life.born_ms ||
+        (life == this->description.life &&
+         heartbeat.sequence < this->sequence)) {
+      Log(LogLevel::kInfo, "outdated heartbeat",
+          {{"worker", life.id.value},
+           {"sequence", std::to_string(heartbeat.sequence)}});
+      return;
+    }
+    const bool other_life = life != this->description.life;
+    const bool changed =
+        other_life || heartbeat.description.availability !=
+                          this->description.availability;
+    this->description = heartbeat.description;
+    this->sequence = heartbeat.sequence;
+    if (other_life) {
+      this->BeginLife();
+    }
+    if (changed) {
+      Log(LogLevel::kInfo, "worker_state",
+          {{"worker", life.id.value},
+           {"born_ms", std::to_string(life.born_ms)},
+           {"state", std::string(NameOf(this->description.availability))}});
+      this->runs.SetDraining(this->Draining());
+      this->Report();
+      this->SendDue();
+    }
+  }
+
+  /// The worker ends by plan.
+  void OnLeave(const WorkerId& worker) {
+    if (worker == this->description.life.id) {
+      this->EndLife("left");
+    }
+  }
+
+  /// Serves one exchange with a planner.
+  void OnExchange(const rpc::ExchangeRequest& request,
+                  rpc::Responder<rpc::ExchangeReply> respond) {
+    if (request.epoch() < this->epoch) {
+      rpc::ExchangeReply reply;
+      reply.set_accepted(false);
+      reply.set_highest_epoch(this->epoch);
+      respond(std::move(reply));
+      return;
+    }
+    if (request.epoch() > this->epoch) {
+      Log(LogLevel::kInfo, "new planner",
+          {{"epoch", std::to_string(request.epoch())}});
+      this->epoch = request.epoch();
+      this->exchange = 0;
+    }
+    if (request.sequence() > this->exchange) {
+      this->exchange = request.sequence();
+      this->Follow(request);
+    }
+    this->AnswerWaiting();
+    if (request.wait_ms() <= 0 || request.seen_report() < this->report) {
+      respond(this->Reply());
+      return;
+    }
+    this->waiting = std::move(respond);
+    this->task.PostAt(
+        BootClock{}.Now().After(request.wait_ms()),
+        [this, alive = this->alive, number = ++this->waiting_number] {
+          if (*alive && number == this->waiting_number) {
+            this->AnswerWaiting();
+          }
+        });
+  }
+
+  /// True while the worker takes work.
+  bool WorkerReady() const {
+    return this->description.availability ==
+           workload::WorkerAvailability::kReady;
+  }
+
+ private:
+  bool Draining() const {
+    return this->description.availability ==
+           workload::WorkerAvailability::kDraining;
+  }
+
+  void Follow(const rpc::ExchangeRequest& request) {
+    this->authority_until = std::max(
+        this->authority_until, Instant{request.authority_until_agent_ms()});
+    const bool same_life =
+        request.worker().id() == this->description.life.id.value &&
+        request.worker().born_unix_ms() == this->description.life.born_ms;
+    if (!same_life || request.worker().id().empty()) {
+      return;
+    }
+    this->acknowledged_end =
+        std::max(this->acknowledged_end, request.acknowledged_end());
+    std::vector<DesiredRun> desired;
+    for (const auto& order : request.orders()) {
+      desired.push_back({{JobId(order.task().job()), order.task().occurrence(),
+                          order.task().step(), order.task().index()},
+                         order.run(),
+                         order.stop(),
+                         order.started(),
+                         order.payload(),
+                         order.checkpoint(),
+                         order.ticket()});
+    }
+    this->runs.SetDesired(std::move(desired), BootClock{}.Now());
+    this->SendDue();
+    if (this->holding_back && this->acknowledged_end >= this->listed_end) {
+      this->HoldAfter(0);
+    }
+  }
+
+  rpc::ExchangeReply Reply() const {
+    rpc::ExchangeReply reply;
+    reply.set_accepted(true);
+    reply.set_highest_epoch(this->epoch);
+    reply.set_report(this->report);
+    reply.set_agent_clock_ms(BootClock{}.Now().ms);
+    reply.set_agent_incarnation(this->incarnation);
+    const auto& description = this->description;
+    reply.mutable_worker()->set_id(description.life.id.value);
+    reply.mutable_worker()->set_born_unix_ms(description.life.born_ms);
+    reply.set_availability(static_cast<std::uint32_t>(
+        this->listed ? description.availability
+                     : workload::WorkerAvailability::kAbsent));
+    reply.set_service(description.service.value);
+    reply.set_failure_domain(description.failure_domain.value);
+    reply.set_rack(description.rack.value);
+    for (const std::string& label : description.labels) {
+      reply.add_labels(label);
+    }
+    reply.set_cpu_millis(description.capacity.cpu_millis);
+    reply.set_memory_mb(description.capacity.memory_mb);
+    reply.set_accelerators(description.capacity.accelerators);
+    for (const ListedRun& run : this->runs.Running()) {
+      auto* message = reply.add_running();
+      Fill(*message->mutable_task(), run.task);
+      message->set_run(run.run);
+      message->set_percent(run.percent);
+      message->set_checkpoint(run.checkpoint);
+      message->set_usage(run.usage);
+    }
+    for (const ListedEnd& end : this->runs.Ends()) {
+      auto* message = reply.add_ended();
+      message->set_number(end.number);
+      Fill(*message->mutable_task(), end.task);
+      message->set_run(end.run);
+      message->set_end(static_cast<std::uint32_t>(end.end));
+      message->set_checkpoint(end.checkpoint);
+    }
+    return reply;
+  }
+
+  static void Fill(rpc::TaskName& message, const workload::TaskKey& task) {
+    message.set_job(task.job.value);
+    message.set_occurrence(task.occurrence);
+    message.set_step(task.step);
+    message.set_index(task.index);
+  }
+
+  void AnswerWaiting() {
+    if (this->waiting) {
+      const auto respond = std::exchange(this->waiting, std::nullopt);
+      (*respond)(this->Reply());
+    }
+  }
+
+  void Report() {
+    ++this->report;
+    this->AnswerWaiting();
+  }
+
+  // What changed in the table since the last report is news.
+  void ReportChanges() {
+    if (std::exchange(this->reported_version, this->runs.Version()) !=
+        this->runs.Version()) {
+      this->Report();
+    }
+  }
+
+  /// Time of the worker's clock until which leases may last; 0 for none.
+  std::int64_t LeaseUntil() const {
+    const Instant now = BootClock{}.Now();
+    if (!this->worker_clock.has_value() || this->authority_until <= now) {
+      return 0;
+    }
+    return this->authority_until.ms + *this->worker_clock;
+  }
+
+  void NoteClock(std::int64_t worker_ms) {
+    if (worker_ms != 0) {
+      // The answer was on its way for a while, so this is never too much.
+      this->worker_clock = worker_ms - BootClock{}.Now().ms;
+    }
+  }
+
+  void SendDue() {
+    const Instant now = BootClock{}.Now();
+    if (!this->listed) {
+      return;
+    }
+    DueOrders due = this->runs.TakeDue(now);
+    for (const DesiredRun& run : due.starts) {
+      this->SendStart(run, now);
+    }
+    for (const RunKey& run : due.stops) {
+      this->SendStop(run, now);
+    }
+    this->ReportChanges();
+  }
+
+  void SendStart(const DesiredRun& run, Instant now) {
+    const RunKey key{run.task, run.run};
+    const std::int64_t until = this->LeaseUntil();
+    if (until == 0) {
+      this->runs.OnStart(key, OrderResult::kLeaseOver, now);
+      return;
+    }
+    this->port.Start(
+        {run.task, run.run, run.payload, run.checkpoint, run.ticket, until,
+         this->fence, this->description.life.id},
+        now.After(this->settings.answer_ms),
+        [this, alive = this->alive, key, life = this->description.life,
+         sent = now](const StartReply& reply) {
+          if (*alive && life == this->description.life) {
+            this->NoteClock(reply.worker_clock_ms);
+            this->LogOrder("start", key, reply.result, sent);
+            this->runs.OnStart(key, reply.result, BootClock{}.Now());
+            this->OnOrderResult(reply.result);
+          }
+        });
+  }
+
+  void SendStop(const RunKey& key, Instant now) {
+    this->port.Stop(
+        {key.first, key.second, this->fence, this->description.life.id},
+        now.After(this->settings.answer_ms),
+        [this, alive = this->alive, key, life = this->description.life,
+         sent = now](OrderResult result) {
+          if (*alive && life == this->description.life) {
+            this->LogOrder("stop", key, result, sent);
+            this->runs.OnStop(key, result, BootClock{}.Now());
+            this->OnOrderResult(result);
+          }
+        });
+  }
+
+  // A refusal for the fence means that orders of an earlier process of this
+  // agent carried a higher one: a clock that stepped back.
+  void OnOrderResult(OrderResult result) {
+    constexpr std::uint64_t kFenceStep = 10'000;
+    if (result == OrderResult::kFenced) {
+      this->fence += kFenceStep;
+    } else if (result == OrderResult::kOtherLife) {
+      this->EndLife("another life answered");
+      return;
+    }
+    this->task.PostAt(
+        BootClock{}.Now().After(this->settings.runs.retry_ms),
+        [this, alive = this->alive] {
+          if (*alive) {
+            this->SendDue();
+          }
+        });
+    this->ReportChanges();
+  }
+
+  void LogOrder(std::string_view order,
+                const RunKey& key,
+                OrderResult result,
+                Instant sent) {
+    this->metrics
+        .GetCounter("carobrill_worker_orders_total",
+                    "Orders to the worker, by order and result.",
+                    {{"order", std::string(order)},
+                     {"result", std::string(NameOf(result))}})
+        .Increment();
+    Log(LogLevel::kInfo, "worker_order",
+        {{"job", key.first.job.value},
+         {"task", std::to_string(key.first.occurrence) + "." +
+                      std::to_string(key.first.step) + "." +
+                      std::to_string(key.first.index)},
+         {"run", std::to_string(key.second)},
+         {"order", std::string(order)},
+         {"result", std::string(NameOf(result))},
+         {"epoch", std::to_string(this->epoch)},
+         {"age_ms", std::to_string(BootClock{}.Now().ms - sent.ms)}});
+  }
+
+  void HoldAfter(std::int64_t delay_ms) {
+    this->holding_back = delay_ms > 0;
+    this->task.PostAt(BootClock{}.Now().After(delay_ms),
+                      [this, alive = this->alive, turn = ++this->hold_turn] {
+                        if (*alive && turn == this->hold_turn) {
+                          this->holding_back = false;
+                          this->Hold();
+                        }
+                      });
+  }
+
+  void Hold() {
+    if (this->description.life.id.empty() || this->gone) {
+      this->HoldAfter(this->settings.retry_ms);
+      return;
+    }
+    const Instant now = BootClock{}.Now();
+    const std::int64_t wait_ms = this->listed ? this->settings.list_wait_ms : 0;
+    this->port.Hold({this->fence, this->acknowledged_end, this->LeaseUntil(),
+                     wait_ms, this->description.life.id},
+                    now.After(wait_ms + this->settings.answer_ms),
+                    [this, alive = this->alive, turn = this->hold_turn,
+                     life = this->description.life,
+                     sent = now](const LeaseReply& reply) {
+                      if (*alive && turn == this->hold_turn) {
+                        this->OnHold(reply, life, sent);
+                      }
+                    });
+  }
+
+  void OnHold(const LeaseReply& reply,
+              const workload::WorkerLife& life,
+              Instant sent) {
+    if (life != this->description.life) {
+      this->HoldAfter(0);
+      return;
+    }
+    if (reply.result != OrderResult::kDone) {
+      this->OnHoldFailure(reply.result);
+      return;
+    }
+    this->refused = 0;
+    if (reply.born_ms != 0 && reply.born_ms != life.born_ms) {
+      this->EndLife("the worker started anew");
+      this->HoldAfter(this->settings.retry_ms);
+      return;
+    }
+    this->NoteClock(reply.worker_clock_ms);
+    const bool first = !std::exchange(this->listed, true);
+    this->runs.OnLists(reply, sent, BootClock{}.Now());
+    this->listed_end = 0;
+    for (const ListedEnd& end : reply.ended) {
+      this->listed_end = std::max(this->listed_end, end.number);
+    }
+    if (first) {
+      this->Report();
+    }
+    this->ReportChanges();
+    this->SendDue();
+    // Listed ends would be returned again at once until they are stored.
+    const bool unstored = this->listed_end > this->acknowledged_end;
+    this->HoldAfter(unstored ? this->settings.ack_wait_ms : 0);
+  }
+
+  void OnHoldFailure(OrderResult result) {
+    if (result == OrderResult::kUnreachable) {
+      ++this->refused;
+    }
+    if (result == OrderResult::kFenced || result == OrderResult::kOtherLife) {
+      this->OnOrderResult(result);
+    } else if (this->refused >= this->settings.refused_connections) {
+      this->EndLife("connections refused");
+    }
+    this->HoldAfter(this->settings.retry_ms);
+  }
+
+  void BeginLife() {
+    this->runs.Reset();
+    this->listed = false;
+    this->gone = false;
+    this->refused = 0;
+    this->acknowledged_end = 0;
+    this->listed_end = 0;
+    this->worker_clock.reset();
+    this->HoldAfter(0);
+  }
+
+  // The runs of a life that is over are reported as lost until the planner
+  // wants none of them any more.
+  void EndLife(std::string_view reason) {
+    if (std::exchange(this->gone, true)) {
+      return;
+    }
+    Log(LogLevel::kWarning, "worker_gone",
+        {{"worker", this->description.life.id.value},
+         {"born_ms", std::to_string(this->description.life.born_ms)},
+         {"reason", std::string(reason)}});
+    this->refused = 0;
+    this->description.availability = workload::WorkerAvailability::kAbsent;
+    this->runs.OnWorkerGone();
+    this->Report();
+  }
+
+  Task& task;
+  Port& port;
+  InstanceId id;
+  std::uint64_t incarnation;
+  WorkerAgentSettings settings;
+  MetricsRegistry& metrics;
+  RunTable runs;
+  /// Higher than that of any order of an earlier process of this agent.
+  std::uint64_t fence;
+  workload::WorkerDescription description;
+  std::uint64_t sequence = 0;
+  /// The worker's lists have been read in this life.
+  bool listed = false;
+  /// The worker's process is known to have ended.
+  bool gone = false;
+  std::uint32_t refused = 0;
+  std::uint64_t epoch = 0;
+  std::uint64_t exchange = 0;
+  Instant authority_until;
+  std::uint64_t acknowledged_end = 0;
+  std::uint64_t listed_end = 0;
+  /// Worker clock minus boot clock, in ms.
+  std::optional<std::int64_t> worker_clock;
+  std::uint64_t report = 1;
+  std::uint64_t reported_version = 1;
+  std::optional<rpc::Responder<rpc::ExchangeReply>> waiting;
+  std::uint64_t waiting_number = 0;
+  std::uint64_t hold_turn = 0;
+  bool holding_back = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace carobrill::worker_agent
+
+#endif  // PACKAGES_WORKER_AGENT_WORKER_AGENT_H_
