--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -132,20 +132,18 @@
 void WorkerLink::OnReply(const rpc::RpcReply<rpc::ExchangeReply>& reply,
                          std::uint64_t sequence) {
   const bool newest = sequence == this->sequence;
-  if (!reply.Ok()) {
+  if (reply.Ok() && reply.value.highest_epoch() > this->epoch) {
+    this->callbacks.on_superseded(reply.value.highest_epoch());
+    return;
+  }
+  // An agent that shuts down accepts nothing any more.
+  if (!reply.Ok() || !reply.value.accepted()) {
     if (newest) {
       this->OnFailure(reply);
     }
     return;
   }
-  if (!reply.value.accepted()) {
-    this->callbacks.on_superseded(reply.value.highest_epoch());
-    return;
-  }
   this->Note(reply.value);
-  if (!*this->alive) {
-    return;
-  }
   if (newest && sequence == this->sequence) {
     this->Send(this->settings.wait_ms);
   }
