Give each claim of the planner's duty a sequence of its own

Cause: two gateways claimed epoch 1 under the same producer, epoch and sequence; the store answers a repeated sequence with its first response, so both planned. Ruled out: the condition on the end of the topic (it is checked after the repeat). Conclusion: kept; a foreign claim now ends a term as well.

--- a/packages/gateway/commit_pipeline.h
+++ b/packages/gateway/commit_pipeline.h
@@ -25,17 +25,16 @@
 template <KeyedLog LogStore>
 class CommitPipeline {
  public:
-  /// `epoch` is the planner's; `sequence` is that of its claim.
+  /// `claim` is the identity under which the planner's term was claimed.
   CommitPipeline(Task& task,
                  LogStore& log,
                  std::string topic,
-                 std::uint64_t epoch,
-                 std::uint64_t sequence,
+                 WriterIdentity claim,
                  CommitSettings settings = {})
       : task(task),
         log(log),
         topic(std::move(topic)),
-        writer{epoch, sequence},
+        writer(claim),
         settings(settings) {}
 
   ~CommitPipeline() { *this->alive = false; }
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -211,6 +211,9 @@
            {"offset", std::to_string(record.offset)}});
     }
     this->lease.Observe(*claim, BootClock{}.Now());
+    if (this->session != nullptr) {
+      this->session->ObserveClaim(*claim);
+    }
   }
 
   void OnAgent(const KeyedRecord& record) {
@@ -275,6 +278,19 @@
                       });
   }
 
+  // A repeated sequence receives the first answer again, so claims of several
+  // instances must differ in it: each starts at a number of its own, with room
+  // for 2^28 appends before the next.
+  WriterIdentity IdentityOf(std::uint64_t epoch) const {
+    constexpr std::uint64_t kStarts = 1U << 24;
+    constexpr unsigned kAppendBits = 28;
+    const std::uint64_t start =
+        std::hash<std::string>{}(this->settings.instance.value + "/" +
+                                 std::to_string(this->incarnation)) %
+        kStarts;
+    return {epoch, start << kAppendBits};
+  }
+
   // The claim takes effect only if nothing was written since this instance
   // read the topic, so a new planner knows all that the earlier one stored.
   void Claim(std::uint64_t epoch) {
@@ -286,7 +302,7 @@
     append.entries = {
         {kPlannerKey, EncodeClaim({this->settings.instance, epoch, 0, false})}};
     append.expected_end = this->progress.Next();
-    append.writer = WriterIdentity{epoch, 0};
+    append.writer = this->IdentityOf(epoch);
     append.deadline = now.After(this->settings.follower.answer_ms);
     this->log.Append(append, [this, alive = this->alive,
                               epoch](const KeyedAppendReply& reply) {
@@ -331,12 +347,16 @@
 
   void BeginTerm(std::uint64_t epoch) {
     this->claiming = false;
-    if (this->lease.Newest().epoch > epoch || this->draining) {
+    const PlannerClaim& newest = this->lease.Newest();
+    const bool superseded = newest.epoch > epoch ||
+                            (newest.epoch == epoch &&
+                             newest.instance != this->settings.instance);
+    if (superseded || this->draining) {
       return;
     }
     this->session = std::make_unique<PlannerSession<LogStore>>(
-        this->task, this->log, this->settings.instance, epoch,
-        this->settings.session, this->exchange, this->planner_log,
+        this->task, this->log, this->settings.instance,
+        this->IdentityOf(epoch), this->settings.session, this->exchange, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
             this->EndTerm(reason);
@@ -402,6 +422,8 @@
   bool claiming = false;
   bool draining = false;
   std::uint64_t tried_epoch = 0;
+  /// Start of this process (Unix µs).
+  std::uint64_t incarnation = WallClockMicros();
   Instant ticked_at;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -39,24 +39,25 @@
 template <KeyedLog LogStore>
 class PlannerSession {
  public:
-  /// `on_lost` runs once, posted to the task, when another planner took over.
+  /// `claim` is the identity under which the term was claimed. `on_lost` runs
+  /// once, posted to the task, when another planner took over.
   PlannerSession(Task& task,
                  LogStore& log,
                  InstanceId instance,
-                 std::uint64_t epoch,
+                 WriterIdentity claim,
                  PlannerSessionSettings settings,
                  ExchangeFunction exchange,
                  PlannerLog& planner_log,
                  std::function<void(std::string reason)> on_lost)
       : task(task),
         instance(std::move(instance)),
-        epoch(epoch),
+        epoch(claim.epoch),
         settings(settings),
         exchange(std::move(exchange)),
         planner_log(planner_log),
         on_lost(std::move(on_lost)),
         planner(settings.planner),
-        commits(task, log, kProgressTopic, epoch, /*sequence=*/0) {
+        commits(task, log, kProgressTopic, claim) {
     const Instant now = BootClock{}.Now();
     this->stored_at = now;
     // A planner before this one may have granted leases until then.
@@ -118,6 +119,13 @@
     this->Wake();
   }
 
+  /// Notes a claim in the log; that of another instance ends the term.
+  void ObserveClaim(const PlannerClaim& claim) {
+    if (claim.epoch >= this->epoch && claim.instance != this->instance) {
+      this->End("another claim of epoch " + std::to_string(claim.epoch));
+    }
+  }
+
   /// Ends the term in the log, so that another instance takes over at once;
   /// `done` runs when that is stored or cannot be.
   void Resign(std::function<void()> done) {
