--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -188,6 +188,7 @@
       reply.worker().born_unix_ms() != this->worker.born_unix_ms()) {
     this->worker = reply.worker();
     this->acknowledged_end = 0;
+    this->orders.clear();
   }
   this->callbacks.on_report(this->agent, reply, this->lease_ends);
 }
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -316,7 +316,11 @@
   for (const auto& [id, job] : this->jobs) {
     ForEachHeld(const_cast<Job&>(job),
                 [&, &job = job](const TaskKey& key, const TaskState& task) {
-                  if (task.commit > committed) {
+                  // A run of another life of the worker is lost, not ordered.
+                  const auto worker = this->workers.find(task.worker.agent);
+                  if (task.commit > committed ||
+                      worker == this->workers.end() ||
+                      worker->second.description.life != task.worker) {
                     return;
                   }
                   TaskOrder order{key, task.run, false, true, {}, {}};
--- a/packages/workload/job_planner_serve.cc
+++ b/packages/workload/job_planner_serve.cc
@@ -67,11 +67,6 @@
                              std::vector<Waiting>& waiting) {
   const StepState& state = job.occurrences[occurrence].steps[step];
   PlacementUnit unit{&job.submission, occurrence, step, {}, {}};
-  for (const TaskState& task : state.tasks) {
-    if (task.Occupies()) {
-      ++unit.held[task.worker];
-    }
-  }
   const bool gang = job.submission.spec.steps[step].gang;
   for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
     const TaskState& task = state.tasks[i];
@@ -121,6 +116,14 @@
                        RoomMap& map,
                        const TransitionTime& time) {
   const Submission& submission = *waiting.unit.submission;
+  const Job& job = this->jobs.at(submission.id);
+  // Tasks of the same step that were placed a moment ago count as well.
+  for (const TaskState& task :
+       job.occurrences[waiting.unit.occurrence].steps[waiting.unit.step].tasks) {
+    if (task.Occupies()) {
+      ++waiting.unit.held[task.worker];
+    }
+  }
   const bool urgent = submission.priority == 0;
   const std::int64_t patience = urgent ? this->settings.urgent_rack_patience_ms
                                        : this->settings.rack_patience_ms;
@@ -131,7 +134,6 @@
       this->TryWait(waiting, map, near_soon)) {
     return;
   }
-  const Job& job = this->jobs.at(submission.id);
   const bool worth_stopping =
       urgent &&
       (waiting.guaranteed ||
