--- a/packages/daemon/agent_status_page.cc
+++ b/packages/daemon/agent_status_page.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 http::HttpResponse AgentPage(const http::HttpRequest& request,
-                                 const AgentStatus& status) {
+                             const AgentStatus& status) {
   if (request.path == "/metrics") {
     return {200, MetricsText(status), "text/plain; version=0.0.4", {}};
   }
--- a/packages/daemon/agent_status_page.h
+++ b/packages/daemon/agent_status_page.h
@@ -23,7 +23,7 @@
 
 /// Answers /healthz, /readyz and /metrics (Prometheus text).
 http::HttpResponse AgentPage(const http::HttpRequest& request,
-                                 const AgentStatus& status);
+                             const AgentStatus& status);
 
 }  // namespace carobrill::daemon
 
--- a/packages/daemon/http_api.cc
+++ b/packages/daemon/http_api.cc
@@ -21,8 +21,7 @@
   return response;
 }
 
-http::HttpResponse ReadyResponse(const Readiness& readiness,
-                                     bool draining) {
+http::HttpResponse ReadyResponse(const Readiness& readiness, bool draining) {
   if (draining) {
     return ResponseOf(
         Problem{ApiError::kDraining, "this instance is shutting down"});
--- a/packages/daemon/http_api.h
+++ b/packages/daemon/http_api.h
@@ -100,8 +100,7 @@
         gate(std::make_shared<DrainGate>()) {}
 
   /// Handles one request; for use as http::HttpHandler.
-  void Handle(const http::HttpRequest& request,
-              http::HttpResponder respond) {
+  void Handle(const http::HttpRequest& request, http::HttpResponder respond) {
     const Answer<RouteMatch> match = MatchRoute(request.method, request.path);
     const auto* found = std::get_if<RouteMatch>(&match);
     const ApiRoute route = found == nullptr ? ApiRoute::kUnknown : found->route;
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -251,9 +251,7 @@
        [](S& s) -> SettingTarget { return &s.gateway.job_retention_ms; },
        "How long the state of an ended job is told.", "ms", 1'000, kDayMs},
       {"gateway.urgent_rack_patience_ms",
-       [](S& s) -> SettingTarget {
-         return &s.gateway.urgent_rack_patience_ms;
-       },
+       [](S& s) -> SettingTarget { return &s.gateway.urgent_rack_patience_ms; },
        "How long urgent work waits for a rack where it runs at full speed.",
        "ms", 0, kMinuteMs},
   };
@@ -279,7 +277,8 @@
 
 std::vector<SettingDescription> MakeTable() {
   auto table = InstanceTable();
-  for (const auto& part : {EntryTable(), AgentTable(), GatewayTable(), WorkerAgentTable()}) {
+  for (const auto& part :
+       {EntryTable(), AgentTable(), GatewayTable(), WorkerAgentTable()}) {
     table.insert(table.end(), part.begin(), part.end());
   }
   return table;
--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -171,9 +171,8 @@
   static bool IsJobId(const JobId& id) {
     constexpr std::size_t kDigits = 16;
     return id.value.size() == kDigits &&
-           std::ranges::all_of(id.value, [](unsigned char c) {
-             return std::isxdigit(c) != 0;
-           });
+           std::ranges::all_of(
+               id.value, [](unsigned char c) { return std::isxdigit(c) != 0; });
   }
 
   void Submit(const CallRef& call) {
@@ -224,9 +223,9 @@
   /// The job of the call, if the caller's account may see it.
   const workload::Job* Visible(const Call& call) const {
     const workload::Job* job = this->view.Find(call.job);
-    const bool own = job != nullptr &&
-                     (call.account.empty() ||
-                      job->submission.account == call.account);
+    const bool own =
+        job != nullptr &&
+        (call.account.empty() || job->submission.account == call.account);
     return own ? job : nullptr;
   }
 
@@ -271,9 +270,8 @@
   // call must not be refused as not done.
   void Store(const CallRef& call, CallerOutcome success) {
     const Instant now = BootClock{}.Now();
-    const std::int64_t left =
-        call->request.deadline.RemainingMs(now) -
-        this->settings.answer_margin_ms;
+    const std::int64_t left = call->request.deadline.RemainingMs(now) -
+                              this->settings.answer_margin_ms;
     if (left <= 0) {
       this->GiveUp(*call, "deadline");
       return;
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -166,8 +166,7 @@
     return {[this] { return this->CurrentConfiguration(); },
             [this] { return this->operator_topic.FreshAt(); },
             [this] {
-              return std::min(this->intake.FreshAt(),
-                              this->progress.FreshAt());
+              return std::min(this->intake.FreshAt(), this->progress.FreshAt());
             },
             [this](std::function<void(bool)> done) {
               this->intake.Barrier(std::move(done));
@@ -180,8 +179,8 @@
       return;
     }
     const bool accepted = change == IntakeChange::kAccepted;
-    const auto id = JobOfKey(record.entry.key,
-                             accepted ? kJobPrefix : kCancelPrefix);
+    const auto id =
+        JobOfKey(record.entry.key, accepted ? kJobPrefix : kCancelPrefix);
     if (!id.has_value()) {
       return;
     }
@@ -238,9 +237,8 @@
       return;
     }
     auto read = this->source.decode(record.entry.value);
-    if (!read.has_value() ||
-        (this->configuration.has_value() &&
-         read->version <= this->configuration->version)) {
+    if (!read.has_value() || (this->configuration.has_value() &&
+                              read->version <= this->configuration->version)) {
       return;
     }
     Log(LogLevel::kInfo, "configuration_in_force",
@@ -348,15 +346,15 @@
   void BeginTerm(std::uint64_t epoch) {
     this->claiming = false;
     const PlannerClaim& newest = this->lease.Newest();
-    const bool superseded = newest.epoch > epoch ||
-                            (newest.epoch == epoch &&
-                             newest.instance != this->settings.instance);
+    const bool superseded =
+        newest.epoch > epoch ||
+        (newest.epoch == epoch && newest.instance != this->settings.instance);
     if (superseded || this->draining) {
       return;
     }
     this->session = std::make_unique<PlannerSession<LogStore>>(
-        this->task, this->log, this->settings.instance,
-        this->IdentityOf(epoch), this->settings.session, this->exchange, this->planner_log,
+        this->task, this->log, this->settings.instance, this->IdentityOf(epoch),
+        this->settings.session, this->exchange, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
             this->EndTerm(reason);
--- a/packages/gateway/planner_lease.cc
+++ b/packages/gateway/planner_lease.cc
@@ -23,8 +23,8 @@
 bool PlannerLease::ShouldClaim(Instant now) const {
   const std::int64_t turn_ms = this->rank * this->settings.rank_delay_ms;
   const bool vacant = !this->seen || this->newest.resigned;
-  return now >= this->heard_at.After(
-                    turn_ms + (vacant ? 0 : this->settings.takeover_ms));
+  return now >= this->heard_at.After(turn_ms +
+                                     (vacant ? 0 : this->settings.takeover_ms));
 }
 
 }  // namespace carobrill::gateway
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -61,8 +61,8 @@
     const Instant now = BootClock{}.Now();
     this->stored_at = now;
     // A planner before this one may have granted leases until then.
-    this->earlier_leases_end = now.After(settings.store_lease_ms +
-                                         settings.link.lease_ms);
+    this->earlier_leases_end =
+        now.After(settings.store_lease_ms + settings.link.lease_ms);
     this->planner.SetUnknownWorkersLostAt(this->earlier_leases_end);
   }
 
@@ -77,8 +77,7 @@
   /// @{
   /// What the log holds when the term begins, and what comes to it.
   void Load(workload::Job job) {
-    const bool cancel =
-        job.cancel_requested && !workload::IsFinal(job.phase);
+    const bool cancel = job.cancel_requested && !workload::IsFinal(job.phase);
     const JobId id = job.submission.id;
     this->planner.Load(std::move(job));
     if (cancel) {
@@ -192,9 +191,8 @@
     }
     const bool resigning = static_cast<bool>(this->resigned);
     if (now >= this->beat_at || resigning) {
-      entries.push_back(
-          {kPlannerKey, EncodeClaim({this->instance, this->epoch,
-                                     ++this->beat, resigning})});
+      entries.push_back({kPlannerKey, EncodeClaim({this->instance, this->epoch,
+                                                   ++this->beat, resigning})});
       this->beat_at = now.After(this->settings.beat_ms);
     }
     if (entries.empty()) {
@@ -241,8 +239,7 @@
       return;
     }
     auto orders = this->planner.Orders(this->committed);
-    const Instant limit =
-        this->stored_at.After(this->settings.store_lease_ms);
+    const Instant limit = this->stored_at.After(this->settings.store_lease_ms);
     for (auto& [agent, link] : this->links) {
       link->SetAuthorityLimit(limit);
       link->SetOrders(std::move(orders[agent]), this->AcknowledgedEnd(agent));
@@ -320,10 +317,10 @@
     const auto end = static_cast<workload::RunEnd>(
         std::min(ended.end(),
                  static_cast<std::uint32_t>(workload::RunEnd::kWorkerLost)));
-    this->planner.ObserveEnd(agent,
-                             {FromMessage(ended.task()), ended.run(), end,
-                              ended.checkpoint()},
-                             time);
+    this->planner.ObserveEnd(
+        agent,
+        {FromMessage(ended.task()), ended.run(), end, ended.checkpoint()},
+        time);
     if (ended.number() != 0) {
       seen.highest = ended.number();
       seen.waiting.emplace_back(ended.number(), this->planner.NextCommit());
--- a/packages/gateway/topic_follower.h
+++ b/packages/gateway/topic_follower.h
@@ -87,20 +87,20 @@
       return;
     }
     const Instant sent = BootClock{}.Now();
-    this->log.Read({this->topic, this->next, 0,
-                    sent.After(this->settings.answer_ms)},
-                   [this, alive = this->alive, sent, round = this->round,
-                    done = std::move(done)](KeyedReadReply reply) {
-                     if (!*alive) {
-                       return;
-                     }
-                     const bool read = reply.failure == KeyedLogFailure::kNone &&
-                                       round == this->round;
-                     if (read) {
-                       this->Deliver(reply, sent);
-                     }
-                     done(read && this->next >= reply.end);
-                   });
+    this->log.Read(
+        {this->topic, this->next, 0, sent.After(this->settings.answer_ms)},
+        [this, alive = this->alive, sent, round = this->round,
+         done = std::move(done)](KeyedReadReply reply) {
+          if (!*alive) {
+            return;
+          }
+          const bool read =
+              reply.failure == KeyedLogFailure::kNone && round == this->round;
+          if (read) {
+            this->Deliver(reply, sent);
+          }
+          done(read && this->next >= reply.end);
+        });
   }
 
  private:
@@ -203,16 +203,16 @@
   void NoteFailure(KeyedLogFailure failure) {
     if (!std::exchange(this->failing, true)) {
       Log(LogLevel::kWarning, "dependency lost",
-                     {{"dependency", "log"},
-                      {"topic", this->topic},
-                      {"reason", std::string(NameOf(failure))}});
+          {{"dependency", "log"},
+           {"topic", this->topic},
+           {"reason", std::string(NameOf(failure))}});
     }
   }
 
   void NoteSuccess() {
     if (std::exchange(this->failing, false)) {
       Log(LogLevel::kInfo, "dependency regained",
-                     {{"dependency", "log"}, {"topic", this->topic}});
+          {{"dependency", "log"}, {"topic", this->topic}});
     }
   }
 
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -40,10 +40,9 @@
   workload::WorkerDescription description;
   description.life = {agent, WorkerId(reply.worker().id()),
                       reply.worker().born_unix_ms()};
-  description.availability = static_cast<workload::WorkerAvailability>(
-      std::min(reply.availability(),
-               static_cast<std::uint32_t>(
-                   workload::WorkerAvailability::kDraining)));
+  description.availability = static_cast<workload::WorkerAvailability>(std::min(
+      reply.availability(),
+      static_cast<std::uint32_t>(workload::WorkerAvailability::kDraining)));
   description.service = ServiceId(reply.service());
   description.failure_domain = FailureDomainId(reply.failure_domain());
   description.rack = RackId(reply.rack());
@@ -96,8 +95,8 @@
   request.set_authority_until_agent_ms(now.ms + this->clock_offset_ms +
                                        granted_ms);
   this->lease_ends = std::max(
-      this->lease_ends, now.After(granted_ms * (100 + kDriftPercent) / 100 +
-                                  kLeaseMarginMs));
+      this->lease_ends,
+      now.After(granted_ms * (100 + kDriftPercent) / 100 + kLeaseMarginMs));
 }
 
 void WorkerLink::Send(std::int64_t wait_ms) {
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -37,9 +37,8 @@
 /// What a link tells the planner's session.
 struct WorkerLinkCallbacks {
   /// A report of the agent; `lease_ends` as in JobPlanner::ObserveWorker.
-  std::function<void(const InstanceId&,
-                     const rpc::ExchangeReply&,
-                     Instant lease_ends)>
+  std::function<
+      void(const InstanceId&, const rpc::ExchangeReply&, Instant lease_ends)>
       on_report;
   std::function<void(const InstanceId&)> on_unreachable;
   /// The agent follows a planner with a higher epoch.
--- a/packages/rpc/worker_control_client.cc
+++ b/packages/rpc/worker_control_client.cc
@@ -58,8 +58,8 @@
     detail::Prepare(call->context, deadline);
     call->number = this->state->pending.Add(
         std::shared_ptr<grpc::ClientContext>(call, &call->context));
-    call->reader = call->stub->AsyncExchange(&call->context, request,
-                                             &this->queue);
+    call->reader =
+        call->stub->AsyncExchange(&call->context, request, &this->queue);
     // The queue's tag owns the call until it comes back.
     call->reader->Finish(&call->reply.value, &call->status,
                          new std::shared_ptr<Call>(call));
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -78,8 +78,8 @@
     if (state.ended || Contains(this->ended, key) || now < state.retry_at) {
       continue;
     }
-    const bool unsent_while_leaving = this->draining && !state.confirmed &&
-                                      !state.desired.started;
+    const bool unsent_while_leaving =
+        this->draining && !state.confirmed && !state.desired.started;
     if (unsent_while_leaving && !state.start_sent) {
       this->End(state, RunEnd::kRefused);
       continue;
@@ -136,8 +136,7 @@
       }
       return;
     default:
-      state.unanswered =
-          state.unanswered || result == OrderResult::kNoAnswer;
+      state.unanswered = state.unanswered || result == OrderResult::kNoAnswer;
       state.retry_at = now.After(this->settings.retry_ms);
       return;
   }
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -76,9 +76,8 @@
       return;
     }
     const bool other_life = life != this->description.life;
-    const bool changed =
-        other_life || heartbeat.description.availability !=
-                          this->description.availability;
+    const bool changed = other_life || heartbeat.description.availability !=
+                                           this->description.availability;
     this->description = heartbeat.description;
     this->sequence = heartbeat.sequence;
     if (other_life) {
@@ -323,13 +322,12 @@
       this->EndLife("another life answered");
       return;
     }
-    this->task.PostAt(
-        BootClock{}.Now().After(this->settings.runs.retry_ms),
-        [this, alive = this->alive] {
-          if (*alive) {
-            this->SendDue();
-          }
-        });
+    this->task.PostAt(BootClock{}.Now().After(this->settings.runs.retry_ms),
+                      [this, alive = this->alive] {
+                        if (*alive) {
+                          this->SendDue();
+                        }
+                      });
     this->ReportChanges();
   }
 
@@ -373,16 +371,16 @@
     }
     const Instant now = BootClock{}.Now();
     const std::int64_t wait_ms = this->listed ? this->settings.list_wait_ms : 0;
-    this->port.Hold({this->fence, this->acknowledged_end, this->LeaseUntil(),
-                     wait_ms, this->description.life.id},
-                    now.After(wait_ms + this->settings.answer_ms),
-                    [this, alive = this->alive, turn = this->hold_turn,
-                     life = this->description.life,
-                     sent = now](const LeaseReply& reply) {
-                      if (*alive && turn == this->hold_turn) {
-                        this->OnHold(reply, life, sent);
-                      }
-                    });
+    this->port.Hold(
+        {this->fence, this->acknowledged_end, this->LeaseUntil(), wait_ms,
+         this->description.life.id},
+        now.After(wait_ms + this->settings.answer_ms),
+        [this, alive = this->alive, turn = this->hold_turn,
+         life = this->description.life, sent = now](const LeaseReply& reply) {
+          if (*alive && turn == this->hold_turn) {
+            this->OnHold(reply, life, sent);
+          }
+        });
   }
 
   void OnHold(const LeaseReply& reply,
--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -29,9 +29,8 @@
 
 std::int64_t AllowanceMs(const Job& job) {
   const std::int64_t chain = LongestChain(
-      job.submission.spec, [&](std::size_t s) {
-        return job.submission.spec.steps[s].estimate_ms;
-      });
+      job.submission.spec,
+      [&](std::size_t s) { return job.submission.spec.steps[s].estimate_ms; });
   return chain * job.submission.stretch_percent / 100 +
          job.submission.objective_slack_ms;
 }
@@ -50,8 +49,8 @@
     for (const TaskState& task : steps[s].tasks) {
       const bool done = task.phase == TaskPhase::kDone;
       longest = std::max(
-          longest, done ? 0 : estimate * (100 - std::min(task.percent, 100U)) /
-                                  100);
+          longest,
+          done ? 0 : estimate * (100 - std::min(task.percent, 100U)) / 100);
     }
     return longest;
   });
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -209,14 +209,12 @@
     ForEachHeld(job, [&](const TaskKey& key, const TaskState& task) {
       const auto found = this->workers.find(task.worker.agent);
       const bool known = found != this->workers.end();
-      const bool another_life =
-          known && found->second.reachable &&
-          !found->second.description.life.id.empty() &&
-          found->second.description.life != task.worker;
-      const bool expired =
-          known ? !found->second.reachable &&
-                      time.now >= found->second.lease_ends
-                : time.now >= this->unknown_lost_at;
+      const bool another_life = known && found->second.reachable &&
+                                !found->second.description.life.id.empty() &&
+                                found->second.description.life != task.worker;
+      const bool expired = known ? !found->second.reachable &&
+                                       time.now >= found->second.lease_ends
+                                 : time.now >= this->unknown_lost_at;
       if (another_life || expired) {
         lost.emplace_back(task.worker,
                           RunReport{key, task.run, RunEnd::kWorkerLost, {}});
@@ -274,9 +272,8 @@
       urgent.push_back(&job);
     }
   }
-  std::ranges::stable_sort(urgent, {}, [](const Job* job) {
-    return job->submission.accepted_at;
-  });
+  std::ranges::stable_sort(
+      urgent, {}, [](const Job* job) { return job->submission.accepted_at; });
   std::map<AccountId, std::int64_t> left = this->guarantees;
   std::set<JobId> result;
   for (const Job* job : urgent) {
@@ -314,24 +311,23 @@
     std::uint64_t committed) const {
   std::map<InstanceId, std::vector<TaskOrder>> orders;
   for (const auto& [id, job] : this->jobs) {
-    ForEachHeld(const_cast<Job&>(job),
-                [&, &job = job](const TaskKey& key, const TaskState& task) {
-                  // A run of another life of the worker is lost, not ordered.
-                  const auto worker = this->workers.find(task.worker.agent);
-                  if (task.commit > committed ||
-                      worker == this->workers.end() ||
-                      worker->second.description.life != task.worker) {
-                    return;
-                  }
-                  TaskOrder order{key, task.run, false, true, {}, {}};
-                  order.stop = task.phase == TaskPhase::kStopping;
-                  order.started = task.phase != TaskPhase::kStarting;
-                  if (!order.started) {
-                    order.payload = job.submission.spec.payload;
-                    order.checkpoint = task.checkpoint;
-                  }
-                  orders[task.worker.agent].push_back(std::move(order));
-                });
+    ForEachHeld(const_cast<Job&>(job), [&, &job = job](const TaskKey& key,
+                                                       const TaskState& task) {
+      // A run of another life of the worker is lost, not ordered.
+      const auto worker = this->workers.find(task.worker.agent);
+      if (task.commit > committed || worker == this->workers.end() ||
+          worker->second.description.life != task.worker) {
+        return;
+      }
+      TaskOrder order{key, task.run, false, true, {}, {}};
+      order.stop = task.phase == TaskPhase::kStopping;
+      order.started = task.phase != TaskPhase::kStarting;
+      if (!order.started) {
+        order.payload = job.submission.spec.payload;
+        order.checkpoint = task.checkpoint;
+      }
+      orders[task.worker.agent].push_back(std::move(order));
+    });
   }
   return orders;
 }
--- a/packages/workload/job_planner_serve.cc
+++ b/packages/workload/job_planner_serve.cc
@@ -98,8 +98,7 @@
   const TaskKey key{job.submission.id, occurrence, unit.step,
                     unit.tasks.front()};
   const auto known = this->waiting_since.find(key);
-  entry.since =
-      known == this->waiting_since.end() ? time.now : known->second;
+  entry.since = known == this->waiting_since.end() ? time.now : known->second;
   entry.guaranteed = this->guaranteed_jobs.contains(job.submission.id);
   entry.rank = job.submission.priority * kRanksPerPriority;
   const Prospect prospect = ProspectOf(job, occurrence, time.wall);
@@ -118,8 +117,9 @@
   const Submission& submission = *waiting.unit.submission;
   const Job& job = this->jobs.at(submission.id);
   // Tasks of the same step that were placed a moment ago count as well.
-  for (const TaskState& task :
-       job.occurrences[waiting.unit.occurrence].steps[waiting.unit.step].tasks) {
+  for (const TaskState& task : job.occurrences[waiting.unit.occurrence]
+                                   .steps[waiting.unit.step]
+                                   .tasks) {
     if (task.Occupies()) {
       ++waiting.unit.held[task.worker];
     }
@@ -136,9 +136,8 @@
   }
   const bool worth_stopping =
       urgent &&
-      (waiting.guaranteed ||
-       ProspectOf(job, waiting.unit.occurrence, time.wall) !=
-           Prospect::kTooLate);
+      (waiting.guaranteed || ProspectOf(job, waiting.unit.occurrence,
+                                        time.wall) != Prospect::kTooLate);
   if (worth_stopping && this->TryPreempt(waiting, map, near_soon, time)) {
     return;
   }
@@ -219,14 +218,14 @@
     if (!this->MayStop(waiting, job)) {
       continue;
     }
-    const double weight =
-        1 + kLowestPriority - std::min(job.submission.priority, kLowestPriority);
+    const double weight = 1 + kLowestPriority -
+                          std::min(job.submission.priority, kLowestPriority);
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
       const auto& steps = job.occurrences[k].steps;
       for (std::uint32_t s = 0; s < steps.size(); ++s) {
         const StepSpec& spec = job.submission.spec.steps[s];
-        const auto away = std::ranges::count_if(
-            steps[s].tasks, [](const TaskState& task) {
+        const auto away =
+            std::ranges::count_if(steps[s].tasks, [](const TaskState& task) {
               return task.phase != TaskPhase::kRunning;
             });
         if (spec.long_running && spec.max_unavailable > 0 &&
@@ -247,10 +246,9 @@
           victim.room.emplace_back(*worker, spec.Room());
           const double elapsed_s =
               static_cast<double>(now.ms - task.ordered_at.ms) / 1000;
-          victim.cost += weight * (1 + CoresOf(spec.demand) * elapsed_s *
-                                           (spec.checkpointable
-                                                ? kCheckpointedCost
-                                                : 1));
+          victim.cost +=
+              weight * (1 + CoresOf(spec.demand) * elapsed_s *
+                                (spec.checkpointable ? kCheckpointedCost : 1));
           if (!spec.gang) {
             victims.push_back(std::exchange(victim, {}));
           }
@@ -298,10 +296,10 @@
     const TaskKey key{unit.submission->id, unit.occurrence, unit.step,
                       unit.tasks[i]};
     const auto since = this->waiting_since.find(key);
-    this->Note(PlannerEventKind::kAssigned, key, run, task.worker.id,
-               unit.Spec().gang ? "gang" : "task",
-               since == this->waiting_since.end() ? 0
-                                                  : now.ms - since->second.ms);
+    this->Note(
+        PlannerEventKind::kAssigned, key, run, task.worker.id,
+        unit.Spec().gang ? "gang" : "task",
+        since == this->waiting_since.end() ? 0 : now.ms - since->second.ms);
   }
   this->changed.insert(unit.submission->id);
 }
--- a/packages/workload/job_transitions.cc
+++ b/packages/workload/job_transitions.cc
@@ -50,9 +50,9 @@
 }
 
 bool AllDone(const Job& job) {
-  return std::ranges::all_of(
-      job.occurrences,
-      [](const Occurrence& occurrence) { return occurrence.Done(); });
+  return std::ranges::all_of(job.occurrences, [](const Occurrence& occurrence) {
+    return occurrence.Done();
+  });
 }
 
 }  // namespace
--- a/packages/workload/placement.cc
+++ b/packages/workload/placement.cc
@@ -29,8 +29,8 @@
                     RoomKind kind) {
   const Resources demand = unit.Spec().Room();
   Resources left = RoomOf(room, kind);
-  const auto most = std::min<std::uint64_t>(
-      AllowedBySpread(unit, room), unit.tasks.size());
+  const auto most =
+      std::min<std::uint64_t>(AllowedBySpread(unit, room), unit.tasks.size());
   std::uint32_t slots = 0;
   while (slots < most && demand.FitsIn(left)) {
     left -= demand;
@@ -92,8 +92,8 @@
   });
   Choice choice;
   for (const Candidate& candidate : candidates) {
-    for (std::uint32_t i = 0; i < candidate.slots &&
-                              choice.workers.size() < unit.tasks.size();
+    for (std::uint32_t i = 0;
+         i < candidate.slots && choice.workers.size() < unit.tasks.size();
          ++i) {
       choice.workers.push_back(candidate.index);
     }
--- a/packages/workload/preemption.cc
+++ b/packages/workload/preemption.cc
@@ -28,9 +28,8 @@
     }
   }
   for (auto& [worker, list] : by_worker) {
-    std::ranges::stable_sort(list, {}, [&](std::size_t v) {
-      return victims[v].cost;
-    });
+    std::ranges::stable_sort(list, {},
+                             [&](std::size_t v) { return victims[v].cost; });
   }
   return by_worker;
 }
@@ -81,8 +80,7 @@
     without -= RoomOn(victims[step.victims[i]], worker);
     if (demand.FitsIn(without)) {
       room = without;
-      step.victims.erase(step.victims.begin() +
-                         static_cast<std::ptrdiff_t>(i));
+      step.victims.erase(step.victims.begin() + static_cast<std::ptrdiff_t>(i));
     }
   }
   for (const std::size_t v : step.victims) {
@@ -117,12 +115,11 @@
   attempt.plan.cost += step.cost;
 }
 
-std::optional<PreemptionPlan> PlanWithin(
-    const PlacementUnit& unit,
-    const RoomMap& map,
-    const std::vector<std::size_t>& scope,
-    const std::vector<Victim>& victims,
-    const VictimsByWorker& by_worker) {
+std::optional<PreemptionPlan> PlanWithin(const PlacementUnit& unit,
+                                         const RoomMap& map,
+                                         const std::vector<std::size_t>& scope,
+                                         const std::vector<Victim>& victims,
+                                         const VictimsByWorker& by_worker) {
   const Resources demand = unit.Spec().Room();
   Attempt attempt;
   attempt.chosen.assign(victims.size(), false);
@@ -136,8 +133,7 @@
         continue;
       }
       auto step = StepOn(demand, worker, victims, by_worker, attempt);
-      if (step.has_value() &&
-          (!best.has_value() || step->cost < best->cost)) {
+      if (step.has_value() && (!best.has_value() || step->cost < best->cost)) {
         best = std::move(step);
       }
     }
--- a/packages/workload/preemption.h
+++ b/packages/workload/preemption.h
@@ -29,10 +29,11 @@
 /// Finds the cheapest way to place the whole unit by stopping some of
 /// `victims`, whose indexes the result names. Nothing when even stopping all
 /// of them would not help.
-std::optional<PreemptionPlan> PlanPreemption(const PlacementUnit& unit,
-                                             const RoomMap& map,
-                                             const PlacementRules& rules,
-                                             const std::vector<Victim>& victims);
+std::optional<PreemptionPlan> PlanPreemption(
+    const PlacementUnit& unit,
+    const RoomMap& map,
+    const PlacementRules& rules,
+    const std::vector<Victim>& victims);
 
 }  // namespace carobrill::workload
 
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -84,8 +84,8 @@
 bool ReadTask(const records::JobRecord& record,
               const records::TaskRecord& stored,
               Job& job) {
-  TaskState* task = job.Find({job.submission.id, stored.occurrence(),
-                              stored.step(), stored.index()});
+  TaskState* task = job.Find(
+      {job.submission.id, stored.occurrence(), stored.step(), stored.index()});
   if (task == nullptr ||
       stored.phase() > static_cast<std::uint32_t>(TaskPhase::kDone) ||
       stored.worker() > static_cast<std::uint32_t>(record.workers_size())) {
--- a/packages/workload/resources.h
+++ b/packages/workload/resources.h
@@ -41,9 +41,10 @@
 /// above 1 when it does not fit.
 inline double DominantShare(const Resources& demand, const Resources& room) {
   const auto share = [](std::int64_t part, std::int64_t whole) {
-    return part == 0 ? 0.0
-                     : static_cast<double>(part) /
-                           static_cast<double>(std::max<std::int64_t>(whole, 1));
+    return part == 0
+               ? 0.0
+               : static_cast<double>(part) /
+                     static_cast<double>(std::max<std::int64_t>(whole, 1));
   };
   return std::max({share(demand.cpu_millis, room.cpu_millis),
                    share(demand.memory_mb, room.memory_mb),
--- /dev/null
+++ b/tests/adapter/codec_test.cc
@@ -0,0 +1,148 @@
+#include <doctest/doctest.h>
+
+#include "platform/configuration_codec.h"
+#include "platform/heartbeat_codec.h"
+#include "platform/job_codec.h"
+#include "platform/runner_client.h"
+#include "platform/store_client.h"
+
+namespace carobrill::adapter {
+namespace {
+
+using workload::RunEnd;
+
+template <typename Function>
+bool Refused(Function&& function) {
+  return ErrorFrom<WireError>(std::forward<Function>(function)).has_value();
+}
+
+TEST_CASE("keyed records are written and read in the store's raw form") {
+  const std::string body = detail::EncodeEntries({{"key", "value"}, {"k", ""}});
+  CHECK(body == std::string("\0\0\0\x09\x03keyvalue\0\0\0\x02\x01k", 19));
+  std::string tail(16, '\0');
+  tail[7] = 9;
+  const auto reply = detail::DecodeTail(tail + body, 7);
+  REQUIRE(reply.failure == KeyedLogFailure::kNone);
+  REQUIRE(reply.records.size() == 2);
+  CHECK(reply.records[1].offset == 8);
+  CHECK(reply.records[1].entry == KeyedEntry{"k", ""});
+  CHECK(reply.next == 9);
+  CHECK(reply.end == 9);
+}
+
+TEST_CASE("a cut record is malformed; a record without a key is left out") {
+  const std::string head(16, '\0');
+  CHECK(
+      detail::DecodeTail(head + std::string("\0\0\0\x09\x03k", 6), 0).failure ==
+      KeyedLogFailure::kMalformed);
+  CHECK(detail::DecodeTail("short", 0).failure == KeyedLogFailure::kMalformed);
+  const auto other = detail::DecodeTail(
+      head + std::string("\0\0\0\0", 4) + detail::EncodeEntries({{"a", "b"}}),
+      4);
+  REQUIRE(other.records.size() == 1);
+  CHECK(other.records[0].offset == 5);
+}
+
+TEST_CASE("task names are read back, and other text is refused") {
+  const workload::TaskKey task{JobId("5c0e7a21d94b36f8"), 1, 2, 17};
+  CHECK(EncodeTaskName(task) == "5c0e7a21d94b36f8.1.2.17");
+  CHECK(DecodeTaskName("5c0e7a21d94b36f8.1.2.17") == task);
+  for (const char* text :
+       {"", "x", "x.1.2", "x.1.2.3.4", "x.1.a.3", ".1.2.3"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeTaskName(text).has_value());
+  }
+}
+
+TEST_CASE("a runner's lists are read row by row") {
+  const auto lists = detail::DecodeLists(
+      R"({"clock_ms":5,"born":7,"running_tasks":[["a.0.1.2",3,"c",41,900],5],)"
+      R"("ended_tasks":[[58,"a.0.1.9",1,"lapsed",""],[59,"a.0.1.8",1,"?"]]})");
+  CHECK(lists.worker_clock_ms == 5);
+  CHECK(lists.born_ms == 7);
+  REQUIRE(lists.running.size() == 1);
+  CHECK(lists.running[0].percent == 41);
+  CHECK(lists.running[0].checkpoint == "c");
+  REQUIRE(lists.ended.size() == 1);
+  CHECK(lists.ended[0].end == RunEnd::kLeaseExpired);
+  CHECK(detail::DecodeLists("[]").result ==
+        worker_agent::OrderResult::kNoAnswer);
+}
+
+TEST_CASE("a submission is read with its omitted fields") {
+  auto spec = DecodeJobSpec(
+      R"({"task_spec":"t","steps":[{"count":4,"cpu":500,"gpu":2,"gang":true},)"
+      R"({"count":2,"depends_on":[0],"checkpointable":true}]})");
+  REQUIRE(spec);
+  CHECK(spec->steps[0].gang);
+  CHECK(spec->steps[0].demand.accelerators == 2);
+  CHECK(spec->steps[1].depends_on == std::vector<std::uint32_t>{0});
+  CHECK(spec->Occurrences() == 1);
+}
+
+TEST_CASE("malformed submissions are typed errors") {
+  for (const char* body :
+       {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":1,"depends_on":[0]}]})",
+        R"({"steps":[{"count":"1"}]})", R"({"task_spec":1,"steps":[{}]})",
+        R"({"steps":[{"count":1,"cpu":-1}]})"}) {
+    CAPTURE(body);
+    CHECK(Refused([&] { return DecodeJobSpec(body); }));
+  }
+}
+
+TEST_CASE("a heartbeat of another writer names no worker") {
+  const InstanceId agent("side-1");
+  const WorkerId worker("i-1");
+  auto good = DecodeHeartbeat(
+      agent, worker,
+      R"({"service":"s","zone":"z","state":"ready","seq":4,"born":9,)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1"]})");
+  REQUIRE(good);
+  CHECK(good->description.rack == RackId("r1"));
+  CHECK(good->description.capacity == workload::Resources{16'000, 32'768, 8});
+  CHECK(good->description.life.born_ms == 9);
+  for (const char* body :
+       {"", "7", R"({"service":"s","state":"gone","capacity":{}})",
+        R"({"service":"s","state":"ready"})",
+        R"({"service":5,"state":"ready","capacity":{}})",
+        R"({"service":"s","state":"ready","capacity":{"cpu":"1"}})"}) {
+    CAPTURE(body);
+    CHECK(Refused([&] { return DecodeHeartbeat(agent, worker, body); }));
+  }
+}
+
+TEST_CASE("a configuration is read; a broken queue is left out") {
+  auto read = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",)"
+      R"("service":"s","stretch":1.5,"slo_ms":250,"max_attempts":4},{"name":5}],)"
+      R"("tenants":[{"name":"t","api_keys":["k1","k2"],)"
+      R"("guaranteed":{"gpu":16}}],"limits":{"max_body_bytes":99}})");
+  REQUIRE(read);
+  REQUIRE(read->queues.size() == 1);
+  CHECK(read->queues[0].stretch_percent == 150);
+  CHECK(read->account_of_key.at("k2") == AccountId("t"));
+  CHECK(read->guaranteed_accelerators.at(AccountId("t")) == 16);
+  CHECK(read->max_body_bytes == 99);
+  CHECK(read->FindQueue("h", "/a/x") == &read->queues[0]);
+  CHECK(read->FindQueue("h", "/b/x") == nullptr);
+  CHECK(Refused([] { return DecodeConfiguration("{}"); }));
+  CHECK(Refused([] { return DecodeConfiguration("not json"); }));
+}
+
+TEST_CASE("answers keep apart what was not done and what is unknown") {
+  using gateway::CallerOutcome;
+  gateway::CallerAnswer answer;
+  answer.outcome = CallerOutcome::kNotDone;
+  answer.retry_after_ms = 300;
+  CHECK(EncodeAnswer(answer).status == 503);
+  CHECK(EncodeAnswer(answer).headers.at("Retry-After") == "1");
+  answer.outcome = CallerOutcome::kOutcomeUnknown;
+  CHECK(EncodeAnswer(answer).status == 504);
+  answer.outcome = CallerOutcome::kJobState;
+  answer.state = "running";
+  CHECK(EncodeAnswer(answer).body == R"({"state":"running"})");
+}
+
+}  // namespace
+}  // namespace carobrill::adapter
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,215 @@
+#include <doctest/doctest.h>
+
+#include <future>
+#include <memory>
+
+#include "packages/gateway/gateway_core.h"
+#include "tests/gateway/memory_log.h"
+
+namespace carobrill::gateway {
+namespace {
+
+constexpr std::int64_t kPatienceMs = 5'000;
+
+Configuration TestConfiguration() {
+  Configuration configuration;
+  configuration.version = 1;
+  configuration.queues.push_back(
+      {"q", "host", "/jobs/", ServiceId("s"), 1, 2, 300, 1'000, false, false});
+  configuration.account_of_key["key"] = AccountId("a");
+  return configuration;
+}
+
+/// Gateways on one log, without agents.
+class Cluster {
+ public:
+  Cluster() : task("test"), log(this->task) {
+    this->task.Run([this] {
+      this->log.Append({"op", {{"config", "1"}}, {}, {}, Instant::Never()},
+                       [](const KeyedAppendReply&) {});
+    });
+  }
+
+  ~Cluster() {
+    this->task.Run([this] { this->gateways.clear(); });
+  }
+
+  using Core = GatewayCore<MemoryLog>;
+
+  std::size_t Add(const std::string& name) {
+    this->task.Run([&] {
+      GatewaySettings settings;
+      settings.instance = InstanceId(name);
+      this->gateways.push_back(std::make_unique<Core>(
+          this->task, this->log, settings,
+          ConfigurationSource{"op", "config",
+                              [](const std::string&) {
+                                return std::optional(TestConfiguration());
+                              }},
+          [](const std::string&, const rpc::ExchangeRequest&, Instant,
+             const rpc::RpcCallback<rpc::ExchangeReply>&) {},
+          this->metrics));
+      this->gateways.back()->Start();
+    });
+    return this->gateways.size() - 1;
+  }
+
+  void Remove(std::size_t index) {
+    this->task.Run([&] { this->gateways[index].reset(); });
+  }
+
+  std::size_t Planners() {
+    std::size_t count = 0;
+    this->task.Run([&] {
+      for (const auto& gateway : this->gateways) {
+        count += gateway != nullptr && gateway->Planner() != nullptr ? 1 : 0;
+      }
+    });
+    return count;
+  }
+
+  bool WaitFor(const std::function<bool()>& condition) {
+    const Instant end = BootClock{}.Now().After(kPatienceMs);
+    while (BootClock{}.Now() < end) {
+      if (condition()) {
+        return true;
+      }
+      g_usleep(5'000);
+    }
+    return false;
+  }
+
+  CallerAnswer Call(std::size_t gateway,
+                    CallerVerb verb,
+                    const std::string& id,
+                    const std::string& key = "key",
+                    std::int64_t deadline_ms = 2'000) {
+    auto promise = std::make_shared<std::promise<CallerAnswer>>();
+    auto future = promise->get_future();
+    this->task.Post([=, this] {
+      CallerRequest request;
+      request.verb = verb;
+      request.host = "host";
+      request.path = "/jobs/" + id;
+      request.api_key = key;
+      request.deadline = BootClock{}.Now().After(deadline_ms);
+      workload::JobSpec spec;
+      spec.steps.emplace_back();
+      request.spec = spec;
+      this->gateways[gateway]->Handle(std::move(request),
+                                      [promise](const CallerAnswer& answer) {
+                                        promise->set_value(answer);
+                                      });
+    });
+    return future.get();
+  }
+
+  bool Ready(std::size_t gateway) {
+    bool ready = false;
+    this->task.Run([&] { ready = this->gateways[gateway]->Ready(); });
+    return ready;
+  }
+
+  void FailAppends(std::vector<KeyedLogFailure> faults) {
+    this->task.Run([&] { this->log.append_faults = std::move(faults); });
+  }
+
+  Task task;
+  MemoryLog log;
+  MetricsRegistry metrics;
+  std::vector<std::unique_ptr<Core>> gateways;
+};
+
+constexpr const char* kId = "0123456789abcdef";
+
+TEST_CASE("gateways that claim at the same time leave one planner") {
+  // Guards against the store's answer to a repeated sequence, which once made
+  // two claims of one epoch succeed.
+  Cluster cluster;
+  for (const char* name : {"g1", "g2", "g3", "g4", "g5", "g6"}) {
+    cluster.Add(name);
+  }
+  CHECK(cluster.WaitFor([&] { return cluster.Planners() == 1; }));
+  g_usleep(1'200'000);
+  CHECK(cluster.Planners() == 1);
+}
+
+TEST_CASE("another gateway plans when the planner is gone") {
+  Cluster cluster;
+  const std::size_t first = cluster.Add("g1");
+  REQUIRE(cluster.WaitFor([&] { return cluster.Planners() == 1; }));
+  cluster.Add("g2");
+  cluster.Remove(first);
+  CHECK(cluster.Planners() == 0);
+  CHECK(cluster.WaitFor([&] { return cluster.Planners() == 1; }));
+}
+
+TEST_CASE("an accepted job is known at every gateway at once") {
+  // Guards against 410 for a job that another gateway has just accepted.
+  Cluster cluster;
+  cluster.Add("g1");
+  cluster.Add("g2");
+  REQUIRE(
+      cluster.WaitFor([&] { return cluster.Ready(0) && cluster.Ready(1); }));
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, kId).outcome ==
+        CallerOutcome::kAccepted);
+  const auto answer = cluster.Call(1, CallerVerb::kQuery, kId);
+  CHECK(answer.outcome == CallerOutcome::kJobState);
+  CHECK(answer.state == "queued");
+  CHECK(cluster.Call(1, CallerVerb::kQuery, "ffffffffffffffff").outcome ==
+        CallerOutcome::kUnknownJob);
+  CHECK(cluster.Call(1, CallerVerb::kCancel, kId).outcome ==
+        CallerOutcome::kCancelAccepted);
+}
+
+TEST_CASE("a refusal is said only when nothing was stored") {
+  // Guards against 'not done' after an append that may take effect.
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor(
+      [&] { return cluster.Ready(0) && cluster.Planners() == 1; }));
+  using F = KeyedLogFailure;
+  SUBCASE("refused every time") {
+    // The planner's heartbeats use up some of the faults.
+    cluster.FailAppends(std::vector<F>(20, F::kRefused));
+    CHECK(cluster.Call(0, CallerVerb::kSubmit, kId).outcome ==
+          CallerOutcome::kNotDone);
+  }
+  SUBCASE("no answer, then refused") {
+    std::vector<F> faults(1, F::kNoAnswer);
+    faults.resize(60, F::kRefused);
+    cluster.FailAppends(faults);
+    const auto answer = cluster.Call(0, CallerVerb::kSubmit, kId, "key", 600);
+    const auto& stored = cluster.log.Entries(kIntakeTopic);
+    CHECK((stored.empty() || answer.outcome == CallerOutcome::kOutcomeUnknown));
+  }
+}
+
+TEST_CASE("calls without a known key or queue are told so") {
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor([&] { return cluster.Ready(0); }));
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, kId, "other").outcome ==
+        CallerOutcome::kUnknownKey);
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, "short").outcome ==
+        CallerOutcome::kMalformed);
+}
+
+TEST_CASE("a planner's silence is measured from the newest sign of it") {
+  PlannerLease lease({400, 1'500, 250}, 1);
+  lease.ObserveGap(Instant{1'000});
+  CHECK_FALSE(lease.ShouldClaim(Instant{1'200}));
+  CHECK(lease.ShouldClaim(Instant{1'250}));
+  lease.Observe({InstanceId("g"), 4, 1, false}, Instant{2'000});
+  CHECK_FALSE(lease.ShouldClaim(Instant{3'700}));
+  CHECK(lease.ShouldClaim(Instant{3'750}));
+  // While the log could not be read, silence says nothing.
+  lease.ObserveGap(Instant{3'740});
+  CHECK_FALSE(lease.ShouldClaim(Instant{3'800}));
+  lease.Observe({InstanceId("g"), 4, 2, true}, Instant{4'000});
+  CHECK(lease.ShouldClaim(Instant{4'250}));
+  CHECK(lease.NextEpoch() == 5);
+}
+
+}  // namespace
+}  // namespace carobrill::gateway
--- /dev/null
+++ b/tests/worker_agent/run_table_test.cc
@@ -0,0 +1,103 @@
+#include "packages/worker_agent/run_table.h"
+
+#include <doctest/doctest.h>
+
+namespace carobrill::worker_agent {
+namespace {
+
+const workload::TaskKey kTask{JobId("0123456789abcdef"), 0, 0, 0};
+const RunKey kRun{kTask, 3};
+
+DesiredRun Wanted(bool stop = false, bool started = false) {
+  return {kTask, 3, stop, started, "payload", "", ""};
+}
+
+LeaseReply Lists(bool running, std::vector<ListedEnd> ended = {}) {
+  LeaseReply reply;
+  if (running) {
+    reply.running.push_back({kTask, 3, 10, "", 0});
+  }
+  reply.ended = std::move(ended);
+  return reply;
+}
+
+TEST_CASE("a start without an answer is repeated under the same run") {
+  // Guards against a lost order, and against a second run for one order.
+  RunTable table({});
+  table.SetDesired({Wanted()}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  CHECK(table.TakeDue(Instant{10}).starts.empty());
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{20});
+  CHECK(table.TakeDue(Instant{30}).starts.empty());
+  REQUIRE(table.TakeDue(Instant{200}).starts.size() == 1);
+}
+
+TEST_CASE("an unanswered start is stopped before it is given up") {
+  // Guards against a late start beside the run that replaced it.
+  RunTable table({});
+  table.SetDesired({Wanted()}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{10});
+  table.TakeDue(Instant{200});
+  table.OnStart(kRun, OrderResult::kUnhealthy, Instant{210});
+  CHECK(table.Ends().empty());
+  REQUIRE(table.TakeDue(Instant{210}).stops.size() == 1);
+  table.OnStop(kRun, OrderResult::kDone, Instant{220});
+  table.OnLists(Lists(false), Instant{215}, Instant{221});
+  CHECK(table.Ends().empty());
+  table.OnLists(Lists(false), Instant{230}, Instant{240});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
+}
+
+TEST_CASE("a start that the worker refused at once ends at once") {
+  RunTable table({});
+  table.SetDesired({Wanted()}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart(kRun, OrderResult::kNoRoom, Instant{10});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
+}
+
+TEST_CASE("a leaving worker is sent no start") {
+  RunTable table({});
+  table.SetDraining(true);
+  table.SetDesired({Wanted()}, Instant{0});
+  CHECK(table.TakeDue(Instant{0}).starts.empty());
+  REQUIRE(table.Ends().size() == 1);
+}
+
+TEST_CASE("a stop lasts until the worker lists the end") {
+  // Guards against room that is given away while the run still uses it.
+  RunTable table({});
+  table.SetDesired({Wanted(true, true)}, Instant{0});
+  table.OnLists(Lists(true), Instant{0}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).stops.size() == 1);
+  table.OnStop(kRun, OrderResult::kDone, Instant{10});
+  table.OnLists(Lists(true), Instant{20}, Instant{30});
+  CHECK(table.Ends().empty());
+  table.OnLists(Lists(false, {{7, kTask, 3, workload::RunEnd::kStopped, "c"}}),
+                Instant{40}, Instant{50});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].number == 7);
+}
+
+TEST_CASE("a run that nobody ordered is stopped after a pause") {
+  RunTable table({});
+  table.OnLists(Lists(true), Instant{0}, Instant{0});
+  CHECK(table.TakeDue(Instant{500}).stops.empty());
+  CHECK(table.TakeDue(Instant{1'100}).stops.size() == 1);
+}
+
+TEST_CASE("all runs of a worker that is gone are reported as lost") {
+  RunTable table({});
+  table.SetDesired({Wanted(false, true)}, Instant{0});
+  table.OnLists(Lists(true), Instant{0}, Instant{0});
+  table.OnWorkerGone();
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kWorkerLost);
+  CHECK(table.TakeDue(Instant{5'000}).starts.empty());
+}
+
+}  // namespace
+}  // namespace carobrill::worker_agent
--- /dev/null
+++ b/tests/workload/job_planner_test.cc
@@ -0,0 +1,196 @@
+#include "packages/workload/job_planner.h"
+
+#include <doctest/doctest.h>
+
+#include "packages/workload/job_objective.h"
+#include "packages/workload/record_codec.h"
+#include "tests/workload/world.h"
+
+namespace carobrill::workload {
+namespace {
+
+TaskKey Task(const std::string& job, std::uint32_t index) {
+  return {JobId(job), 0, 0, index};
+}
+
+TEST_CASE("a limit per worker holds for tasks placed in one run") {
+  // Guards against counting only the tasks that ran before the planner's run.
+  World world(2);
+  StepSpec step = Step(5, {1'000, 1'000, 0});
+  step.max_per_worker = 2;
+  world.planner.Submit(JobOf("j", step));
+  world.Plan();
+  std::map<WorkerLife, int> per_worker;
+  for (const auto& [key, task] : world.Held()) {
+    ++per_worker[task.worker];
+  }
+  CHECK(world.Held().size() == 4);
+  for (const auto& [life, count] : per_worker) {
+    CHECK(count == 2);
+  }
+}
+
+TEST_CASE("runs of an earlier life are lost and never ordered again") {
+  // Guards against a new life of a worker that is given the old one's runs.
+  World world(1);
+  world.planner.Submit(JobOf("j", Step(1, {1'000, 1'000, 1})));
+  world.Plan();
+  REQUIRE(world.Held().size() == 1);
+  world.Answer(0, /*born_ms=*/2);
+  const auto orders = world.planner.Orders(world.planner.NextCommit());
+  CHECK(orders.empty());
+  world.Plan();
+  REQUIRE(world.Held().size() == 1);
+  CHECK(world.Held().begin()->second.run == 2);
+  CHECK(world.Held().begin()->second.worker.born_ms == 2);
+}
+
+TEST_CASE("a silent worker keeps its runs until its lease has surely ended") {
+  // Guards against a second run beside one that still goes on.
+  World world(2);
+  world.planner.Submit(JobOf("j", Step(1, {1'000, 1'000, 8})));
+  world.Plan();
+  const auto first = world.Held().begin()->second.worker;
+  const std::uint32_t silent = first.agent.value == World::Name(0) ? 0 : 1;
+  world.Silence(silent);
+  world.now.ms += 5'900;
+  world.Answer(1 - silent);
+  world.Plan();
+  CHECK(world.Held().begin()->second.worker == first);
+  world.now.ms += 200;
+  world.Answer(1 - silent);
+  world.Plan();
+  CHECK(world.Held().begin()->second.worker != first);
+  CHECK(world.Held().begin()->second.run == 2);
+}
+
+TEST_CASE("a gang starts whole, with one run number, or not at all") {
+  // Guards against members that wait for others that never come.
+  World world(2);
+  StepSpec step = Step(3, {1'000, 1'000, 8});
+  step.gang = true;
+  world.planner.Submit(JobOf("wide", step));
+  world.Plan();
+  CHECK(world.Held().empty());
+  step.tasks = 2;
+  world.planner.Submit(JobOf("fits", step));
+  world.Plan();
+  REQUIRE(world.Held().size() == 2);
+  for (const auto& [key, task] : world.Held()) {
+    CHECK(task.run == 1);
+  }
+  world.End(Task("fits", 0), RunEnd::kFailed);
+  CHECK(world.Held().size() == 1);
+  CHECK(world.Held().begin()->second.phase == TaskPhase::kStopping);
+  world.End(Task("fits", 1), RunEnd::kGangBroken);
+  world.now.ms += 500;
+  world.Answer(0);
+  world.Answer(1);
+  world.Plan();
+  REQUIRE(world.Held().size() == 2);
+  for (const auto& [key, task] : world.Held()) {
+    CHECK(task.run == 2);
+  }
+}
+
+TEST_CASE("urgent work within its guarantee stops other work for its room") {
+  // Guards against a guarantee that waits for others to end by themselves.
+  World world(1);
+  world.planner.SetGuarantees({{AccountId("a"), 8}});
+  world.planner.Submit(JobOf("long", Step(1, {1'000, 1'000, 8})));
+  world.Plan();
+  auto urgent = JobOf("urgent", Step(1, {1'000, 1'000, 8}));
+  urgent.priority = 0;
+  world.planner.Submit(urgent);
+  world.planner.Plan(world.Time());
+  CHECK(world.Held().at(Task("long", 0)).phase == TaskPhase::kStopping);
+  world.End(Task("long", 0), RunEnd::kStopped);
+  world.Plan();
+  CHECK(world.Held().contains(Task("urgent", 0)));
+  CHECK_FALSE(world.Held().contains(Task("long", 0)));
+}
+
+TEST_CASE("a job fails after its allowed attempts and starts no more") {
+  World world(2);
+  world.planner.Submit(JobOf("j", Step(1, {1'000, 1'000, 1})));
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    world.now.ms += 5'000;
+    world.Answer(0);
+    world.Answer(1);
+    world.Plan();
+    REQUIRE(world.Held().size() == 1);
+    world.End(Task("j", 0), RunEnd::kFailed);
+  }
+  CHECK(world.planner.Jobs().at(JobId("j")).phase == JobPhase::kFailed);
+  world.now.ms += 5'000;
+  world.Answer(0);
+  world.Plan();
+  CHECK(world.Held().empty());
+}
+
+TEST_CASE("an end that is reported twice counts once") {
+  World world(1);
+  world.planner.Submit(JobOf("j", Step(2, {1'000, 1'000, 1})));
+  world.Plan();
+  const auto held = world.Held();
+  const RunReport report{Task("j", 0), 1, RunEnd::kFailed, {}};
+  const InstanceId agent = held.begin()->second.worker.agent;
+  world.planner.ObserveEnd(agent, report, world.Time());
+  world.planner.ObserveEnd(agent, report, world.Time());
+  const auto& job = world.planner.Jobs().at(JobId("j"));
+  CHECK(job.occurrences[0].steps[0].tasks[0].failures == 1);
+  CHECK(job.phase == JobPhase::kRunning);
+}
+
+TEST_CASE("an occurrence does not start before it is due") {
+  World world(1);
+  auto job = JobOf("j", Step(1, {1'000, 1'000, 1}));
+  job.spec.repeats = 2;
+  job.spec.first_due = world.now.After(500);
+  job.spec.interval_ms = 1'000;
+  world.planner.Submit(job);
+  world.Plan();
+  CHECK(world.Held().empty());
+  world.now.ms += 500;
+  world.Plan();
+  CHECK(world.Held().size() == 1);
+  world.now.ms += 1'000;
+  world.Answer(0);
+  world.Plan();
+  CHECK(world.Held().size() == 2);
+}
+
+TEST_CASE("stored progress is read back as it was") {
+  World world(2);
+  StepSpec step = Step(2, {1'000, 1'000, 1});
+  step.gang = true;
+  step.checkpointable = true;
+  step.depends_on = {};
+  auto submission = JobOf("0123456789abcdef", step);
+  world.planner.Submit(submission);
+  world.Plan();
+  const Job& job = world.planner.Jobs().at(submission.id);
+  auto read = DecodeSubmission(submission.id, EncodeSubmission(submission));
+  REQUIRE(read);
+  Job copy = Job::Of(*read);
+  REQUIRE(DecodeProgress(EncodeProgress(job), copy));
+  CHECK(copy.phase == JobPhase::kRunning);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    const TaskState& task = copy.occurrences[0].steps[0].tasks[i];
+    CHECK(task.run == 1);
+    CHECK(task.phase == TaskPhase::kRunning);
+    CHECK(task.worker == job.occurrences[0].steps[0].tasks[i].worker);
+  }
+  CHECK(copy.submission.spec.payload == "work");
+}
+
+TEST_CASE("progress of another form is refused and changes nothing") {
+  Job job = Job::Of(JobOf("j", Step(1, {1, 1, 0})));
+  const auto error = ErrorFrom<RecordError>(
+      [&] { return DecodeProgress("\xff\xff\xff", job); });
+  CHECK(error.has_value());
+  CHECK(job.phase == JobPhase::kQueued);
+}
+
+}  // namespace
+}  // namespace carobrill::workload
--- /dev/null
+++ b/tests/workload/world.cc
@@ -0,0 +1,103 @@
+#include "tests/workload/world.h"
+
+namespace carobrill::workload {
+namespace {
+
+constexpr std::int64_t kLeaseMs = 6'000;
+constexpr std::uint32_t kWorkersPerRack = 2;
+
+}  // namespace
+
+StepSpec Step(std::uint32_t tasks, Resources demand) {
+  StepSpec step;
+  step.tasks = tasks;
+  step.demand = demand;
+  step.estimate_ms = 2'000;
+  return step;
+}
+
+Submission JobOf(const std::string& id, const StepSpec& step) {
+  Submission submission;
+  submission.id = JobId(id);
+  submission.account = AccountId("a");
+  submission.queue = "q";
+  submission.service = ServiceId("s");
+  submission.priority = 1;
+  submission.max_attempts = 2;
+  submission.stretch_percent = 300;
+  submission.objective_slack_ms = 1'000;
+  submission.spec.steps = {step};
+  submission.spec.payload = "work";
+  return submission;
+}
+
+World::World(std::uint32_t workers)
+    : planner(JobPlannerSettings{}), workers(workers) {
+  for (std::uint32_t i = 0; i < workers; ++i) {
+    this->Answer(i);
+  }
+}
+
+std::string World::Name(std::uint32_t worker) {
+  return "w" + std::to_string(worker);
+}
+
+void World::Answer(std::uint32_t worker, std::int64_t born_ms) {
+  this->born[worker] = born_ms;
+  const InstanceId agent(Name(worker));
+  WorkerDescription description;
+  description.life = {agent, WorkerId(Name(worker)), born_ms};
+  description.availability = WorkerAvailability::kReady;
+  description.service = ServiceId("s");
+  description.rack = RackId("r" + std::to_string(worker / kWorkersPerRack));
+  description.labels = {"kind", description.rack.value};
+  description.capacity = {32'000, 128'000, 8};
+  this->planner.ObserveWorker(agent, description, this->now.After(kLeaseMs),
+                              this->Time());
+}
+
+void World::Silence(std::uint32_t worker) {
+  this->planner.ObserveUnreachable(InstanceId(Name(worker)));
+}
+
+void World::Plan() {
+  this->planner.Plan(this->Time());
+  const std::uint64_t commit = this->planner.NextCommit();
+  this->planner.TakeChanges();
+  for (const auto& [agent, orders] : this->planner.Orders(commit)) {
+    std::vector<RunningTask> running;
+    for (const TaskOrder& order : orders) {
+      running.push_back({order.task, order.run, 1, {}, 0});
+    }
+    this->planner.ObserveRunning(agent, running, this->now);
+  }
+}
+
+std::map<TaskKey, TaskState> World::Held() const {
+  std::map<TaskKey, TaskState> held;
+  for (const auto& [id, job] : this->planner.Jobs()) {
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+      const auto& steps = job.occurrences[k].steps;
+      for (std::uint32_t s = 0; s < steps.size(); ++s) {
+        for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+          if (steps[s].tasks[i].Occupies()) {
+            held.emplace(TaskKey{id, k, s, i}, steps[s].tasks[i]);
+          }
+        }
+      }
+    }
+  }
+  return held;
+}
+
+void World::End(const TaskKey& task, RunEnd end) {
+  const auto held = this->Held();
+  const auto found = held.find(task);
+  if (found == held.end()) {
+    return;
+  }
+  this->planner.ObserveEnd(found->second.worker.agent,
+                           {task, found->second.run, end, {}}, this->Time());
+}
+
+}  // namespace carobrill::workload
