Stop other work for urgent work only where that pays

Changes: objectives count the waves of wide steps; urgent work stops others when its slack is down to a stop and 0.7 s, and throws away at most twice its own work unless a guarantee is due.

--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -134,6 +134,8 @@
   std::int64_t configuration_age_ms = 3'800;
   /// How long the state of an ended job is told.
   std::int64_t job_retention_ms = 130'000;
+  /// Longest time that a worker takes to stop a task.
+  std::int64_t task_stop_ms = 900;
   /// How long urgent work waits for a rack where it runs at full speed.
   std::int64_t urgent_rack_patience_ms = 900;
 };
--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -1,6 +1,8 @@
 #include "packages/workload/job_objective.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 #include <vector>
 
 namespace carobrill::workload {
@@ -27,43 +29,79 @@
                                           : job.DueAt(occurrence);
 }
 
-std::int64_t AllowanceMs(const Job& job) {
-  const std::int64_t chain = LongestChain(
-      job.submission.spec,
-      [&](std::size_t s) { return job.submission.spec.steps[s].estimate_ms; });
-  return chain * job.submission.stretch_percent / 100 +
-         job.submission.objective_slack_ms;
+std::int64_t SlotsOn(const Resources& demand, const Resources& capacity) {
+  const auto fit = [](std::int64_t part, std::int64_t whole) {
+    return part <= 0 ? std::numeric_limits<std::int64_t>::max() : whole / part;
+  };
+  return std::min({fit(demand.cpu_millis, capacity.cpu_millis),
+                   fit(demand.memory_mb, capacity.memory_mb),
+                   fit(demand.accelerators, capacity.accelerators)});
 }
 
 }  // namespace
 
-Instant ObjectiveOf(const Job& job, std::uint32_t occurrence) {
-  return StartOf(job, occurrence).After(AllowanceMs(job));
+JobObjective::JobObjective(std::vector<Resources> capacities)
+    : capacities(std::move(capacities)) {}
+
+std::int64_t JobObjective::WavesOf(const StepSpec& step,
+                                   std::int64_t tasks) const {
+  std::int64_t slots = 0;
+  for (const Resources& capacity : this->capacities) {
+    slots += std::min(SlotsOn(step.Room(), capacity), tasks);
+  }
+  const std::int64_t at_once = std::max<std::int64_t>(1, slots / kRoomParts);
+  return (tasks + at_once - 1) / at_once;
+}
+
+std::int64_t JobObjective::AllowanceMs(const Job& job) const {
+  const JobSpec& spec = job.submission.spec;
+  const std::int64_t chain = LongestChain(spec, [&](std::size_t s) {
+    const StepSpec& step = spec.steps[s];
+    return step.estimate_ms * this->WavesOf(step, step.tasks);
+  });
+  return chain * job.submission.stretch_percent / 100 +
+         job.submission.objective_slack_ms;
+}
+
+Instant JobObjective::DeadlineOf(const Job& job,
+                                 std::uint32_t occurrence) const {
+  return StartOf(job, occurrence).After(this->AllowanceMs(job));
 }
 
-std::int64_t RemainingMs(const Job& job, std::uint32_t occurrence) {
+std::int64_t JobObjective::RemainingMs(const Job& job,
+                                       std::uint32_t occurrence) const {
   const auto& steps = job.occurrences[occurrence].steps;
-  return LongestChain(job.submission.spec, [&](std::size_t s) {
-    const std::int64_t estimate = job.submission.spec.steps[s].estimate_ms;
-    std::int64_t longest = 0;
+  const JobSpec& spec = job.submission.spec;
+  return LongestChain(spec, [&](std::size_t s) {
+    const std::int64_t estimate = spec.steps[s].estimate_ms;
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
     for (const TaskState& task : steps[s].tasks) {
-      const bool done = task.phase == TaskPhase::kDone;
-      longest = std::max(
-          longest,
-          done ? 0 : estimate * (100 - std::min(task.percent, 100U)) / 100);
+      if (task.phase == TaskPhase::kWaiting) {
+        ++waiting;
+      } else if (task.phase != TaskPhase::kDone) {
+        running = std::max(running, estimate *
+                                        (100 - std::min(task.percent, 100U)) /
+                                        100);
+      }
     }
-    return longest;
+    const std::int64_t waves =
+        waiting == 0 ? 0 : this->WavesOf(spec.steps[s], waiting);
+    return std::max(running, estimate * waves);
   });
 }
 
-Prospect ProspectOf(const Job& job, std::uint32_t occurrence, Instant wall) {
-  const Instant end = wall.After(RemainingMs(job, occurrence));
-  if (end <= ObjectiveOf(job, occurrence)) {
+Prospect JobObjective::ProspectOf(const Job& job,
+                                  std::uint32_t occurrence,
+                                  Instant wall) const {
+  const Instant end = wall.After(this->RemainingMs(job, occurrence));
+  const std::int64_t allowance_ms = this->AllowanceMs(job);
+  const Instant start = StartOf(job, occurrence);
+  if (end <= start.After(allowance_ms)) {
     return Prospect::kOnTime;
   }
-  return end <= StartOf(job, occurrence).After(kLateFactor * AllowanceMs(job))
-             ? Prospect::kLate
-             : Prospect::kTooLate;
+  return end <= start.After(kLateFactor * allowance_ms) ? Prospect::kLate
+                                                        : Prospect::kTooLate;
 }
 
 }  // namespace carobrill::workload
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "packages/workload/job_objective.h"
-
 namespace carobrill::workload {
 namespace {
 
@@ -253,6 +251,13 @@
   this->EndLostRuns(time);
   this->RestartStalled(time.now);
   this->guaranteed_jobs = this->GuaranteedJobs();
+  std::vector<Resources> capacities;
+  for (const auto& [agent, worker] : this->workers) {
+    if (worker.description.availability == WorkerAvailability::kReady) {
+      capacities.push_back(worker.description.capacity);
+    }
+  }
+  this->objective = JobObjective(std::move(capacities));
   auto waiting = this->CollectWaiting(time);
   std::ranges::stable_sort(waiting, [](const Waiting& a, const Waiting& b) {
     return std::pair(a.rank, a.slack_ms) < std::pair(b.rank, b.slack_ms);
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "packages/workload/job.h"
+#include "packages/workload/job_objective.h"
 #include "packages/workload/job_transitions.h"
 #include "packages/workload/placement.h"
 #include "packages/workload/planner_event.h"
@@ -25,6 +26,12 @@
   std::int64_t rack_patience_ms = 3'000;
   /// The same for work of priority 0, which has to begin within seconds.
   std::int64_t urgent_rack_patience_ms = 900;
+  /// Urgent work stops other work for its room when its slack falls to this:
+  /// the time that a stop takes, and a margin for estimates that are off.
+  std::int64_t preemption_slack_ms = 1'600;
+  /// Longest wait of guaranteed work for room that becomes free by itself; the
+  /// platform's bounds leave 2.7 s and more.
+  std::int64_t guarantee_patience_ms = 600;
   /// A task whose progress does not move for this long is started anew.
   std::int64_t stall_ms = 1'500;
   /// Failures in a row, of different jobs, after which a worker is avoided.
@@ -127,6 +134,7 @@
     /// Boot clock: since when nothing but room is missing.
     Instant since;
     bool guaranteed = false;
+    bool too_late = false;
   };
 
   void EndLostRuns(const TransitionTime& time);
@@ -154,6 +162,12 @@
                   RoomMap& map,
                   const PlacementRules& rules,
                   const TransitionTime& time);
+  bool GuaranteeIsDue(const Waiting& waiting, Instant now) const;
+  bool Pays(const Waiting& waiting,
+            const std::vector<Victim>& victims,
+            const PreemptionPlan& plan,
+            Instant now) const;
+  bool IsWorthStopping(const Waiting& waiting, Instant now) const;
   std::vector<Victim> VictimsFor(const Waiting& waiting,
                                  const RoomMap& map,
                                  Instant now) const;
@@ -162,7 +176,10 @@
               const std::vector<std::size_t>& workers,
               const RoomMap& map,
               Instant now);
-  void StopVictim(const Victim& victim, RoomMap& map);
+  void StopVictim(const Victim& victim,
+                  const Waiting& waiting,
+                  RoomMap& map,
+                  Instant now);
   void NoteOutcome(Worker& worker,
                    const RunReport& report,
                    const Job& job,
@@ -184,6 +201,7 @@
   std::map<InstanceId, Worker> workers;
   std::map<AccountId, std::int64_t> guarantees;
   std::set<JobId> guaranteed_jobs;
+  JobObjective objective{{}};
   /// Boot clock: when each waiting unit could first have run.
   std::map<TaskKey, Instant> waiting_since;
   std::set<JobId> changed;
--- a/packages/workload/job_planner_serve.cc
+++ b/packages/workload/job_planner_serve.cc
@@ -15,6 +15,10 @@
 /// Part of the lost work that counts when a task keeps a checkpoint.
 constexpr double kCheckpointedCost = 0.1;
 
+/// Work that may be thrown away for urgent work, as a multiple of that work: an
+/// urgent task in time earns about twice what its own work is priced at.
+constexpr double kLostWorkFactor = 2;
+
 /// Cores that one accelerator counts as, in prices of wasted work.
 constexpr double kCoresPerAccelerator = 8;
 
@@ -101,12 +105,14 @@
   entry.since = known == this->waiting_since.end() ? time.now : known->second;
   entry.guaranteed = this->guaranteed_jobs.contains(job.submission.id);
   entry.rank = job.submission.priority * kRanksPerPriority;
-  const Prospect prospect = ProspectOf(job, occurrence, time.wall);
+  const Prospect prospect =
+      this->objective.ProspectOf(job, occurrence, time.wall);
+  entry.too_late = prospect == Prospect::kTooLate;
   if (!(entry.guaranteed && HasNotBegun(job))) {
     entry.rank += 1 + static_cast<std::int64_t>(prospect);
   }
-  entry.slack_ms = ObjectiveOf(job, occurrence).ms - time.wall.ms -
-                   RemainingMs(job, occurrence);
+  entry.slack_ms = this->objective.DeadlineOf(job, occurrence).ms -
+                   time.wall.ms - this->objective.RemainingMs(job, occurrence);
   entry.unit = std::move(unit);
   waiting.push_back(std::move(entry));
 }
@@ -135,9 +141,7 @@
     return;
   }
   const bool worth_stopping =
-      urgent &&
-      (waiting.guaranteed || ProspectOf(job, waiting.unit.occurrence,
-                                        time.wall) != Prospect::kTooLate);
+      urgent && this->IsWorthStopping(waiting, time.now);
   if (worth_stopping && this->TryPreempt(waiting, map, near_soon, time)) {
     return;
   }
@@ -155,6 +159,14 @@
   }
 }
 
+// Stopped work is mostly lost, so it is stopped only when a wait would cost the
+// objective, or the time in which a guarantee must be given back.
+bool JobPlanner::IsWorthStopping(const Waiting& waiting, Instant now) const {
+  return this->GuaranteeIsDue(waiting, now) ||
+         (!waiting.too_late &&
+          waiting.slack_ms <= this->settings.preemption_slack_ms);
+}
+
 bool JobPlanner::TryPlace(const Waiting& waiting,
                           RoomMap& map,
                           const PlacementRules& rules,
@@ -189,11 +201,11 @@
                             const TransitionTime& time) {
   const auto victims = this->VictimsFor(waiting, map, time.now);
   const auto plan = PlanPreemption(waiting.unit, map, rules, victims);
-  if (!plan.has_value()) {
+  if (!plan.has_value() || !this->Pays(waiting, victims, *plan, time.now)) {
     return false;
   }
   for (const std::size_t victim : plan->victims) {
-    this->StopVictim(victims[victim], map);
+    this->StopVictim(victims[victim], waiting, map, time.now);
   }
   for (const std::size_t worker : plan->workers) {
     map.Take(worker, waiting.unit.Spec().Room());
@@ -201,6 +213,31 @@
   return true;
 }
 
+// Work that is thrown away has to be done again, so more of it than the urgent
+// work is worth several times over is given up only for a guarantee.
+bool JobPlanner::Pays(const Waiting& waiting,
+                      const std::vector<Victim>& victims,
+                      const PreemptionPlan& plan,
+                      Instant now) const {
+  if (this->GuaranteeIsDue(waiting, now)) {
+    return true;
+  }
+  double lost_core_s = 0;
+  for (const std::size_t victim : plan.victims) {
+    lost_core_s += victims[victim].lost_core_s;
+  }
+  const StepSpec& spec = waiting.unit.Spec();
+  const double own_core_s = CoresOf(spec.demand) *
+                            static_cast<double>(spec.estimate_ms) / 1000 *
+                            static_cast<double>(waiting.unit.tasks.size());
+  return lost_core_s <= kLostWorkFactor * own_core_s;
+}
+
+bool JobPlanner::GuaranteeIsDue(const Waiting& waiting, Instant now) const {
+  return waiting.guaranteed &&
+         now >= waiting.since.After(this->settings.guarantee_patience_ms);
+}
+
 bool JobPlanner::MayStop(const Waiting& waiting, const Job& job) const {
   const std::uint32_t priority = waiting.unit.submission->priority;
   if (job.submission.priority > priority) {
@@ -246,9 +283,11 @@
           victim.room.emplace_back(*worker, spec.Room());
           const double elapsed_s =
               static_cast<double>(now.ms - task.ordered_at.ms) / 1000;
-          victim.cost +=
-              weight * (1 + CoresOf(spec.demand) * elapsed_s *
-                                (spec.checkpointable ? kCheckpointedCost : 1));
+          const double lost_core_s =
+              CoresOf(spec.demand) * elapsed_s *
+              (spec.checkpointable ? kCheckpointedCost : 1);
+          victim.lost_core_s += lost_core_s;
+          victim.cost += weight * (1 + lost_core_s);
           if (!spec.gang) {
             victims.push_back(std::exchange(victim, {}));
           }
@@ -262,15 +301,22 @@
   return victims;
 }
 
-void JobPlanner::StopVictim(const Victim& victim, RoomMap& map) {
+void JobPlanner::StopVictim(const Victim& victim,
+                            const Waiting& waiting,
+                            RoomMap& map,
+                            Instant now) {
   for (std::size_t i = 0; i < victim.tasks.size(); ++i) {
     const TaskKey& key = victim.tasks[i];
     TaskState* task = this->jobs.at(key.job).Find(key);
     task->phase = TaskPhase::kStopping;
     map.Release(victim.room[i].first, victim.room[i].second);
     this->changed.insert(key.job);
+    const bool kept = this->jobs.at(key.job).SpecOf(key).checkpointable;
     this->Note(PlannerEventKind::kPreempted, key, task->run, task->worker.id,
-               "room for work of a higher priority");
+               "for job " + waiting.unit.submission->id.value + " with slack " +
+                   std::to_string(waiting.slack_ms) + " ms; work is " +
+                   (kept ? "kept" : "lost"),
+               now.ms - task->ordered_at.ms);
   }
 }
 
--- a/packages/workload/preemption.h
+++ b/packages/workload/preemption.h
@@ -15,7 +15,9 @@
   std::vector<TaskKey> tasks;
   /// Room that each task gives back, by index into the RoomMap.
   std::vector<std::pair<std::size_t, Resources>> room;
-  /// Core-seconds of work that the stop throws away, weighted by priority.
+  /// Core-seconds of work that the stop throws away.
+  double lost_core_s = 0;
+  /// `lost_core_s` weighted by priority; the order in which victims are taken.
   double cost = 0;
 };
 
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -102,6 +102,10 @@
   auto urgent = JobOf("urgent", Step(1, {1'000, 1'000, 8}));
   urgent.priority = 0;
   world.planner.Submit(urgent);
+  // Room that becomes free by itself is waited for, but not for long.
+  world.Plan();
+  world.now.ms += 1'000;
+  world.Answer(0);
   world.planner.Plan(world.Time());
   CHECK(world.Held().at(Task("long", 0)).phase == TaskPhase::kStopping);
   world.End(Task("long", 0), RunEnd::kStopped);
