Keep running work at a change of planner and of agent

Cause: a new agent stopped all runs 1 s after its start when no planner had been heard by then, and a new planner took loaded runs for stalled and for old; work crowded on the agents that answered first. Ruled out: preemption (no event of it for those runs).

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -30,6 +30,9 @@
   std::int64_t store_lease_ms = 15'000;
   /// Longest time between two runs of the planner.
   std::int64_t tick_ms = 200;
+  /// How long a new term waits for agents that have not answered yet before it
+  /// chooses new runs: work would crowd on the first that answer.
+  std::int64_t settle_ms = 500;
   WorkerLinkSettings link;
   workload::JobPlannerSettings planner;
 };
@@ -60,6 +63,7 @@
         commits(task, log, kProgressTopic, claim) {
     const Instant now = BootClock{}.Now();
     this->stored_at = now;
+    this->began_at = now;
     // A planner before this one may have granted leases until then.
     this->earlier_leases_end =
         now.After(settings.store_lease_ms + settings.link.lease_ms);
@@ -79,7 +83,7 @@
   void Load(workload::Job job) {
     const bool cancel = job.cancel_requested && !workload::IsFinal(job.phase);
     const JobId id = job.submission.id;
-    this->planner.Load(std::move(job));
+    this->planner.Load(std::move(job), BootClock{}.Now());
     if (cancel) {
       this->Cancel(id);
     }
@@ -164,7 +168,7 @@
     if (this->ended) {
       return;
     }
-    if (!this->resigned) {
+    if (!this->resigned && this->Settled()) {
       this->planner.Plan(this->Time());
     }
     this->planner_log.Write(this->planner.TakeEvents(), this->epoch);
@@ -172,6 +176,19 @@
     this->PushOrders();
   }
 
+  bool Settled() {
+    if (!this->settled) {
+      const bool all_answered =
+          std::ranges::all_of(this->planner.Workers(), [](const auto& entry) {
+            return entry.second.reachable;
+          });
+      this->settled =
+          all_answered || BootClock{}.Now() >= this->began_at.After(
+                                                   this->settings.settle_ms);
+    }
+    return this->settled;
+  }
+
   void Flush() {
     if (this->commits.Busy() || this->ended) {
       return;
@@ -343,6 +360,8 @@
   /// Boot clock: when the newest stored append was sent.
   Instant stored_at;
   Instant earlier_leases_end;
+  Instant began_at;
+  bool settled = false;
   Instant beat_at;
   bool woken = false;
   bool ended = false;
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -38,6 +38,7 @@
   this->running.clear();
   this->ended.clear();
   this->unordered.clear();
+  this->orders_known = false;
   ++this->version;
 }
 
@@ -63,6 +64,7 @@
     next.emplace(key, std::move(state));
   }
   this->wanted = std::move(next);
+  this->orders_known = true;
 }
 
 bool RunTable::Listed(const RunKey& run) const {
@@ -175,8 +177,10 @@
       this->End(state, state.confirmed ? RunEnd::kStopped : RunEnd::kRefused);
     }
   }
+  // Before the first orders, nobody has had a chance to order what runs.
   std::map<RunKey, Instant> still;
-  for (const ListedRun& run : this->running) {
+  for (const ListedRun& run :
+       this->orders_known ? this->running : std::vector<ListedRun>()) {
     const RunKey key{run.task, run.run};
     if (!this->wanted.contains(key)) {
       const auto seen = this->unordered.find(key);
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -108,6 +108,8 @@
   /// Runs that the worker lists and nobody ordered, with the first sight.
   std::map<RunKey, Instant> unordered;
   bool draining = false;
+  /// Orders for this life of the worker have arrived.
+  bool orders_known = false;
   std::uint64_t version = 1;
 };
 
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -38,8 +38,13 @@
 JobPlanner::JobPlanner(JobPlannerSettings settings)
     : settings(std::move(settings)) {}
 
-void JobPlanner::Load(Job job) {
+// When a run was ordered and last moved is not stored, so both count from now.
+void JobPlanner::Load(Job job, Instant now) {
   const JobId id = job.submission.id;
+  ForEachHeld(job, [&](const TaskKey&, TaskState& task) {
+    task.ordered_at = now;
+    task.progress_at = now;
+  });
   this->jobs.insert_or_assign(id, std::move(job));
 }
 
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -73,7 +73,7 @@
 
   /// @{
   /// The state of the jobs, as stored.
-  void Load(Job job);
+  void Load(Job job, Instant now);
   void Submit(Submission submission);
   void Cancel(const JobId& id, const TransitionTime& time);
   /// @}
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -84,11 +84,22 @@
 
 TEST_CASE("a run that nobody ordered is stopped after a pause") {
   RunTable table({});
+  table.SetDesired({}, Instant{0});
   table.OnLists(Lists(true), Instant{0}, Instant{0});
   CHECK(table.TakeDue(Instant{500}).stops.empty());
   CHECK(table.TakeDue(Instant{1'100}).stops.size() == 1);
 }
 
+TEST_CASE("runs are kept until the first orders have arrived") {
+  // Guards against a new agent that stops all runs before a planner is heard.
+  RunTable table({});
+  table.OnLists(Lists(true), Instant{0}, Instant{0});
+  CHECK(table.TakeDue(Instant{5'000}).stops.empty());
+  table.SetDesired({Wanted(false, true)}, Instant{5'000});
+  table.OnLists(Lists(true), Instant{5'010}, Instant{5'010});
+  CHECK(table.TakeDue(Instant{9'000}).stops.empty());
+}
+
 TEST_CASE("all runs of a worker that is gone are reported as lost") {
   RunTable table({});
   table.SetDesired({Wanted(false, true)}, Instant{0});
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -164,6 +164,21 @@
   CHECK(world.Held().size() == 2);
 }
 
+TEST_CASE("a new planner does not take runs that it has loaded for stalled") {
+  // Guards against stopping all running work at each change of planner.
+  World world(1);
+  StepSpec step = Step(1, {1'000, 1'000, 1});
+  world.planner.Submit(JobOf("j", step));
+  world.Plan();
+  World next(1);
+  next.now.ms = 1'000'000;
+  next.planner.Load(world.planner.Jobs().at(JobId("j")), next.now);
+  next.Answer(0);
+  next.planner.Plan(next.Time());
+  REQUIRE(next.Held().size() == 1);
+  CHECK(next.Held().begin()->second.phase == TaskPhase::kRunning);
+}
+
 TEST_CASE("stored progress is read back as it was") {
   World world(2);
   StepSpec step = Step(2, {1'000, 1'000, 1});
