Bound the log, never wait for its reader, and explain a job from its lines

Cause: a full pipe blocked the task that wrote a line, the volume had no bound, and nothing put the lines of several processes together. Changes: 200 lines a second and message, lines are left out and counted while standard output takes none; carobrill explain prints a job's timeline and the line that decided it; a refusal names its reason.

--- a/completion/carobrill.bash
+++ b/completion/carobrill.bash
@@ -1,7 +1,7 @@
 # Bash completion of carobrill. tests/cli holds it against the command table.
 _carobrill() {
   local commands="submit status cancel queue jobs request rules accounts
-    workers endpoints instances audit drain undrain settings"
+    workers endpoints instances audit drain undrain explain settings"
   # Second words: rules check, rules diff, rules publish, rules show,
   # rules history, settings check, settings list.
   local rules="check diff publish show history"
@@ -56,6 +56,7 @@
     jobs) words+=" --account --class --state --limit" ;;
     accounts|workers|endpoints|instances|audit) words+=" --limit" ;;
     drain|undrain) words+=" --reason" ;;
+    explain) words+=" --file" ;;
     rules)
       case "$second" in
         "") words+=" $rules" ;;
--- a/packages/cli/command_table.cc
+++ b/packages/cli/command_table.cc
@@ -104,6 +104,10 @@
       {"audit", kNone, "list the changes", {kLimit}},
       {"drain", kWorker, "give a worker no new tasks", {kReason}},
       {"undrain", kWorker, "return a worker to service", {kReason}},
+      {"explain",
+       kJob,
+       "print what the processes logged of a job",
+       {{"file", "FILE", "log lines (default: standard input)"}}},
       {"settings check", kFile, "check a settings file of carobrilld", {}},
       {"settings list", kNone, "print all settings as a Markdown table", {}},
   };
--- a/packages/cli/entry_caller.cc
+++ b/packages/cli/entry_caller.cc
@@ -9,9 +9,9 @@
 namespace carobrill::cli {
 namespace {
 
-using nlohmann::json;
 using http::HttpFailure;
 using http::HttpReply;
+using nlohmann::json;
 
 constexpr int kUnavailable = 503;
 constexpr const char* kErrorPrefix = "urn:carobrill:error:";
--- /dev/null
+++ b/packages/cli/explain_command.cc
@@ -0,0 +1,111 @@
+#include "packages/cli/explain_command.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <vector>
+
+namespace carobrill::cli {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// One log line that names the job.
+struct Entry {
+  std::int64_t time_ms = 0;
+  std::string instance;
+  std::string message;
+  Json fields;
+};
+
+/// Messages that decide a job's outcome, the strongest first.
+constexpr const char* kDeciding[] = {
+    "job_ended", "run_lost",      "task_stalled", "task_preempted",
+    "run_ended", "call_answered", "task_assigned"};
+
+// Lines may have a prefix, such as the name of the process that wrote them.
+std::optional<Entry> ReadEntry(const std::string& job,
+                               const std::string& line) {
+  const std::size_t brace = line.find('{');
+  if (brace == std::string::npos || line.find(job) == std::string::npos) {
+    return std::nullopt;
+  }
+  const Json fields = Json::parse(line.substr(brace), nullptr, false);
+  if (!fields.is_object() || fields.value("job", "") != job) {
+    return std::nullopt;
+  }
+  return Entry{fields.value("time_ms", std::int64_t{0}),
+               fields.value("instance", ""), fields.value("message", ""),
+               fields};
+}
+
+std::string Line(const Entry& entry, std::int64_t start_ms) {
+  std::string text = "+" + std::to_string(entry.time_ms - start_ms) + " ms  " +
+                     entry.instance + "  " + entry.message;
+  for (const auto& [name, value] : entry.fields.items()) {
+    if (name != "time_ms" && name != "instance" && name != "message" &&
+        name != "level" && name != "job") {
+      text += "  " + name + "=" +
+              (value.is_string() ? value.get<std::string>() : value.dump());
+    }
+  }
+  return text + "\n";
+}
+
+const Entry* DecidingEntry(const std::vector<Entry>& entries) {
+  for (const char* message : kDeciding) {
+    for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+      if (entry->message == message) {
+        return &*entry;
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string TimelineOf(const std::string& job, std::istream& input) {
+  std::vector<Entry> entries;
+  for (std::string line; std::getline(input, line);) {
+    if (auto entry = ReadEntry(job, line)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  if (entries.empty()) {
+    return {};
+  }
+  std::ranges::stable_sort(entries, {}, &Entry::time_ms);
+  std::string text;
+  for (const Entry& entry : entries) {
+    text += Line(entry, entries.front().time_ms);
+  }
+  if (const Entry* deciding = DecidingEntry(entries)) {
+    text += "decided by: " + Line(*deciding, entries.front().time_ms);
+  }
+  return text;
+}
+
+Result<CliExit> ExplainJob(const CommandLine& line) {
+  std::string text;
+  if (const auto path = line.Value("file")) {
+    std::ifstream file(*path);
+    if (!file) {
+      return Fail(CliError{CliExit::kInput, "cannot read " + *path});
+    }
+    text = TimelineOf(line.argument, file);
+  } else {
+    text = TimelineOf(line.argument, std::cin);
+  }
+  if (text.empty()) {
+    return Fail(
+        CliError{CliExit::kInput, "no log line names job " + line.argument});
+  }
+  std::fputs(text.c_str(), stdout);
+  return CliExit::kOk;
+}
+
+}  // namespace carobrill::cli
--- a/packages/cli/run.cc
+++ b/packages/cli/run.cc
@@ -6,6 +6,7 @@
 
 #include "packages/cli/command_line.h"
 #include "packages/cli/entry_caller.h"
+#include "packages/cli/explain_command.h"
 #include "packages/cli/job_commands.h"
 #include "packages/cli/list_commands.h"
 #include "packages/cli/rules_commands.h"
@@ -132,6 +133,9 @@
     std::fputs(line.print->c_str(), stdout);
     return CliExit::kOk;
   }
+  if (line.command->name == "explain") {
+    return ExplainJob(line);
+  }
   if (line.command->name == "settings check") {
     return CheckSettings(line);
   }
--- a/packages/core/log.h
+++ b/packages/core/log.h
@@ -1,6 +1,7 @@
 #ifndef PACKAGES_CORE_LOG_H_
 #define PACKAGES_CORE_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -39,10 +40,15 @@
 /// A named value of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
+/// Lines of one message that are written within a second; more are counted and
+/// left out, and the next line of that message says how many were.
+inline constexpr std::uint32_t kLogLinesPerSecond = 200;
+
 /// Sets up logging for the process; called once before other threads start.
 void ConfigureLog(const LogSettings& settings);
 
-/// Writes one line: a sentence for the reader and named values for tools.
+/// Writes one line: a sentence for the reader and named values for tools. Never
+/// waits for a reader: while standard output takes no more, lines are left out.
 void Log(LogLevel level,
          std::string_view message,
          std::initializer_list<LogField> fields = {});
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -273,7 +273,7 @@
        SettingNeed::kRequiredInWorkerAgent},
       {"worker_agent.store",
        [](S& s) -> SettingTarget { return &s.worker_agent.store; },
-       "Address of the platform's store.", "", 0, 0,
+       "Address of the store in which the agent registers itself.", "", 0, 0,
        SettingForm::kAddressAndPort, SettingNeed::kRequiredInWorkerAgent},
   };
 }
--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -84,7 +84,9 @@
     call->began = BootClock{}.Now();
     call->respond = std::move(respond);
     if (const auto early = this->Check(*call)) {
-      this->Answer(*call, *early, "");
+      const bool not_done = early->outcome == CallerOutcome::kNotDone;
+      this->Answer(*call, *early,
+                   not_done ? "the configuration is missing or too old" : "");
       return;
     }
     switch (call->request.verb) {
