--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -269,7 +269,7 @@
        SettingForm::kAddressAndPort, SettingNeed::kRequiredInWorkerAgent},
       {"worker_agent.worker",
        [](S& s) -> SettingTarget { return &s.worker_agent.worker; },
-       "Address of the worker.", "", 0, 0, SettingForm::kAddressAndPort,
+       "Address on which the worker takes orders.", "", 0, 0, SettingForm::kAddressAndPort,
        SettingNeed::kRequiredInWorkerAgent},
       {"worker_agent.store",
        [](S& s) -> SettingTarget { return &s.worker_agent.store; },
