--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -10,6 +10,9 @@
 /// before it counts as stalled: slow workers move by less than a percent.
 constexpr std::int64_t kStallPercentOfEstimate = 30;
 
+/// Progress of a task whose work is done.
+constexpr std::uint32_t kWholePercent = 100;
+
 /// Calls `visit(key, task)` for every task of the job that holds room.
 template <typename Visit>
 void ForEachHeld(Job& job, Visit&& visit) {
@@ -237,7 +240,9 @@
           std::max(this->settings.stall_ms,
                    spec.estimate_ms * kStallPercentOfEstimate / 100);
       const auto worker = this->workers.find(task.worker.agent);
-      if (task.phase != TaskPhase::kRunning || spec.long_running ||
+      // A member of a gang that has finished its work waits for the others.
+      const bool finished = task.percent >= kWholePercent;
+      if (task.phase != TaskPhase::kRunning || spec.long_running || finished ||
           now < task.progress_at.After(limit) ||
           worker == this->workers.end() || !worker->second.reachable) {
         return;
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -164,6 +164,30 @@
   CHECK(world.Held().size() == 2);
 }
 
+TEST_CASE("a task without progress is stopped; a finished member is not") {
+  // Guards against stopping a gang because its quick members wait for others.
+  for (const std::uint32_t percent : {40U, 100U}) {
+    CAPTURE(percent);
+    World world(2);
+    StepSpec step = Step(2, {1'000, 1'000, 8});
+    step.gang = true;
+    world.planner.Submit(JobOf("j", step));
+    world.Plan();
+    for (const auto& [key, task] : world.Held()) {
+      world.planner.ObserveRunning(task.worker.agent,
+                                   {{key, task.run, percent, {}, 0}},
+                                   world.now);
+    }
+    world.now.ms += 5'000;
+    world.Answer(0);
+    world.Answer(1);
+    world.planner.Plan(world.Time());
+    for (const auto& [key, task] : world.Held()) {
+      CHECK((task.phase == TaskPhase::kStopping) == (percent < 100));
+    }
+  }
+}
+
 TEST_CASE("a new planner does not take runs that it has loaded for stalled") {
   // Guards against stopping all running work at each change of planner.
   World world(1);
