Take the platform's bounds from its settings, and remove what is unused

Cause: the lease of a task, the age of trusted keys and the retention of jobs were fixed at the bounds of two deployments; the names of tasks were translated twice; a few functions had no caller. Conclusion: other deployments get their own bounds.

--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -127,13 +127,12 @@
   std::string ready;
   /// Address of the platform's store.
   std::string store;
-  /// Lease of the tasks on a worker; below the platform's bound for it.
-  std::int64_t worker_lease_ms = 5'500;
-  /// Age of the configuration after which keys are not trusted; below the
-  /// platform's bound for keys that are taken away.
-  std::int64_t configuration_age_ms = 3'800;
-  /// How long the state of an ended job is told.
-  std::int64_t job_retention_ms = 130'000;
+  /// The platform's bound for the lease of a task.
+  std::int64_t task_lease_limit_ms = 6'000;
+  /// The platform's bound within which a removed key must stop working.
+  std::int64_t key_revocation_ms = 5'000;
+  /// The platform's bound for telling the state of an ended job, in seconds.
+  std::int64_t job_status_s = 120;
   /// Longest time that a worker takes to stop a task.
   std::int64_t task_stop_ms = 900;
   /// How long urgent work waits for a rack where it runs at full speed.
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <utility>
 
-#include "packages/core/hash.h"
 #include "packages/core/keyed_log.h"
 #include "packages/core/metrics.h"
 #include "packages/core/task.h"
@@ -146,7 +145,6 @@
                       std::move(drained));
   }
 
-  const JobView& View() const { return this->view; }
   const Configuration* CurrentConfiguration() const {
     return this->configuration.has_value() ? &*this->configuration : nullptr;
   }
@@ -154,7 +152,6 @@
   const workload::JobPlanner* Planner() const {
     return this->session == nullptr ? nullptr : &this->session->Planner();
   }
-  const PlannerClaim& NewestClaim() const { return this->lease.Newest(); }
 
  private:
   static std::uint32_t RankOf(const InstanceId& instance) {
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -17,6 +17,7 @@
 #include "packages/gateway/planner_records.h"
 #include "packages/gateway/topics.h"
 #include "packages/gateway/worker_link.h"
+#include "packages/rpc/task_names.h"
 #include "packages/workload/job_planner.h"
 #include "packages/workload/record_codec.h"
 
@@ -307,7 +308,7 @@
     this->planner.ObserveWorker(agent, description, lease_ends, time);
     std::vector<workload::RunningTask> running;
     for (const auto& run : reply.running()) {
-      running.push_back({FromMessage(run.task()), run.run(), run.percent(),
+      running.push_back({rpc::FromMessage(run.task()), run.run(), run.percent(),
                          run.checkpoint(), run.usage()});
     }
     this->planner.ObserveRunning(agent, running, time.now);
@@ -337,7 +338,7 @@
                  static_cast<std::uint32_t>(workload::RunEnd::kWorkerLost)));
     this->planner.ObserveEnd(
         agent,
-        {FromMessage(ended.task()), ended.run(), end, ended.checkpoint()},
+        {rpc::FromMessage(ended.task()), ended.run(), end, ended.checkpoint()},
         time);
     if (ended.number() != 0) {
       seen.highest = ended.number();
--- a/packages/gateway/topic_follower.h
+++ b/packages/gateway/topic_follower.h
@@ -33,8 +33,6 @@
   std::function<void(const KeyedRecord&)> on_record;
   /// A whole state was read; keys that are not in it have been removed.
   std::function<void(const std::set<std::string>&)> on_snapshot;
-  /// Records were delivered, or a read confirmed that there are none.
-  std::function<void()> on_progress = [] {};
 };
 
 /// Follows one topic of the keyed log: reads the newest entry of each key, then
@@ -143,7 +141,6 @@
     this->fresh_at = this->snapshot_sent;
     this->NoteSuccess();
     this->callbacks.on_snapshot(std::exchange(this->keys, {}));
-    this->callbacks.on_progress();
     this->ReadTail();
   }
 
@@ -187,7 +184,6 @@
     if (this->next >= reply.end) {
       this->fresh_at = std::max(this->fresh_at, sent);
     }
-    this->callbacks.on_progress();
   }
 
   void Again(std::function<void()> step) {
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "packages/core/log.h"
+#include "packages/rpc/task_names.h"
 
 namespace carobrill::gateway {
 namespace {
@@ -22,19 +23,6 @@
 
 }  // namespace
 
-rpc::TaskName ToMessage(const workload::TaskKey& task) {
-  rpc::TaskName message;
-  message.set_job(task.job.value);
-  message.set_occurrence(task.occurrence);
-  message.set_step(task.step);
-  message.set_index(task.index);
-  return message;
-}
-
-workload::TaskKey FromMessage(const rpc::TaskName& task) {
-  return {JobId(task.job()), task.occurrence(), task.step(), task.index()};
-}
-
 workload::WorkerDescription DescriptionIn(const InstanceId& agent,
                                           const rpc::ExchangeReply& reply) {
   workload::WorkerDescription description;
@@ -111,7 +99,7 @@
   this->Grant(request, now);
   for (const workload::TaskOrder& order : this->orders) {
     auto* message = request.add_orders();
-    *message->mutable_task() = ToMessage(order.task);
+    *message->mutable_task() = rpc::ToMessage(order.task);
     message->set_run(order.run);
     message->set_stop(order.stop);
     message->set_started(order.started);
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -100,9 +100,7 @@
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-/// Translations between the messages and the planner's types.
-rpc::TaskName ToMessage(const workload::TaskKey& task);
-workload::TaskKey FromMessage(const rpc::TaskName& task);
+/// What a report says of the worker beside the agent.
 workload::WorkerDescription DescriptionIn(const InstanceId& agent,
                                           const rpc::ExchangeReply& reply);
 
--- a/packages/platform/endpoint_client.cc
+++ b/packages/platform/endpoint_client.cc
@@ -66,10 +66,10 @@
   http::HttpCall call;
   call.url = this->url + "/v1/health";
   call.deadline = deadline;
-  this->http.Send(std::move(call),
-                  [callback = std::move(callback)](const http::HttpReply& reply) {
-                    callback(HealthOf(reply));
-                  });
+  this->http.Send(std::move(call), [callback = std::move(callback)](
+                                       const http::HttpReply& reply) {
+    callback(HealthOf(reply));
+  });
 }
 
 }  // namespace carobrill::platform
--- a/packages/platform/log_client.cc
+++ b/packages/platform/log_client.cc
@@ -181,10 +181,10 @@
   call.url = this->UrlOf(stream);
   call.body = body.dump();
   call.deadline = deadline;
-  this->client.Send(std::move(call),
-                    [callback = std::move(callback)](const http::HttpReply& reply) {
-                      callback(ParseAppend(reply));
-                    });
+  this->client.Send(std::move(call), [callback = std::move(callback)](
+                                         const http::HttpReply& reply) {
+    callback(ParseAppend(reply));
+  });
 }
 
 void LogClient::Read(const ReadQuery& query,
--- /dev/null
+++ b/packages/rpc/task_names.cc
@@ -0,0 +1,18 @@
+#include "packages/rpc/task_names.h"
+
+namespace carobrill::rpc {
+
+TaskName ToMessage(const workload::TaskKey& task) {
+  TaskName message;
+  message.set_job(task.job.value);
+  message.set_occurrence(task.occurrence);
+  message.set_step(task.step);
+  message.set_index(task.index);
+  return message;
+}
+
+workload::TaskKey FromMessage(const TaskName& task) {
+  return {JobId(task.job()), task.occurrence(), task.step(), task.index()};
+}
+
+}  // namespace carobrill::rpc
--- a/packages/testing/fake_log.h
+++ b/packages/testing/fake_log.h
@@ -38,8 +38,7 @@
     http::HttpResponder respond;
   };
 
-  void Handle(const http::HttpRequest& request,
-              http::HttpResponder respond);
+  void Handle(const http::HttpRequest& request, http::HttpResponder respond);
   void HandleStream(const http::HttpRequest& request,
                     const http::HttpResponder& respond);
   void Append(const std::string& stream,
--- a/packages/testing/fake_worker.cc
+++ b/packages/testing/fake_worker.cc
@@ -49,8 +49,7 @@
                     [respond, response] { respond(response); });
 }
 
-http::HttpResponse FakeWorker::Answer(
-    const http::HttpRequest& request) {
+http::HttpResponse FakeWorker::Answer(const http::HttpRequest& request) {
   this->Tick();
   const Json body = Json::parse(request.body, nullptr, false);
   const bool post = request.method == "POST";
@@ -104,7 +103,7 @@
 }
 
 http::HttpResponse FakeWorker::ToTask(const std::string& path,
-                                          const Json& body) {
+                                      const Json& body) {
   const auto slash = path.rfind('/');
   const std::string prefix = "/v1/tasks/";
   if (!path.starts_with(prefix) || slash < prefix.size()) {
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -13,6 +13,7 @@
 #include "packages/core/metrics.h"
 #include "packages/core/task.h"
 #include "packages/rpc/rpc_types.h"
+#include "packages/rpc/task_names.h"
 #include "packages/rpc/worker_control.pb.h"
 #include "packages/worker_agent/run_table.h"
 #include "packages/worker_agent/worker_port.h"
@@ -42,13 +43,11 @@
   /// `port` must outlive the agent. `incarnation` is the process's start.
   WorkerAgent(Task& task,
               Port& port,
-              InstanceId id,
               std::uint64_t incarnation,
               WorkerAgentSettings settings,
               MetricsRegistry& metrics)
       : task(task),
         port(port),
-        id(std::move(id)),
         incarnation(incarnation),
         settings(settings),
         metrics(metrics),
@@ -136,12 +135,6 @@
         });
   }
 
-  /// True while the worker takes work.
-  bool WorkerReady() const {
-    return this->description.availability ==
-           workload::WorkerAvailability::kReady;
-  }
-
  private:
   bool Draining() const {
     return this->description.availability ==
@@ -161,14 +154,9 @@
         std::max(this->acknowledged_end, request.acknowledged_end());
     std::vector<DesiredRun> desired;
     for (const auto& order : request.orders()) {
-      desired.push_back({{JobId(order.task().job()), order.task().occurrence(),
-                          order.task().step(), order.task().index()},
-                         order.run(),
-                         order.stop(),
-                         order.started(),
-                         order.payload(),
-                         order.checkpoint(),
-                         order.ticket()});
+      desired.push_back({rpc::FromMessage(order.task()), order.run(),
+                         order.stop(), order.started(), order.payload(),
+                         order.checkpoint(), order.ticket()});
     }
     this->runs.SetDesired(std::move(desired), BootClock{}.Now());
     this->SendDue();
@@ -201,7 +189,7 @@
     reply.set_accelerators(description.capacity.accelerators);
     for (const ListedRun& run : this->runs.Running()) {
       auto* message = reply.add_running();
-      Fill(*message->mutable_task(), run.task);
+      *message->mutable_task() = rpc::ToMessage(run.task);
       message->set_run(run.run);
       message->set_percent(run.percent);
       message->set_checkpoint(run.checkpoint);
@@ -210,7 +198,7 @@
     for (const ListedEnd& end : this->runs.Ends()) {
       auto* message = reply.add_ended();
       message->set_number(end.number);
-      Fill(*message->mutable_task(), end.task);
+      *message->mutable_task() = rpc::ToMessage(end.task);
       message->set_run(end.run);
       message->set_end(static_cast<std::uint32_t>(end.end));
       message->set_checkpoint(end.checkpoint);
@@ -218,13 +206,6 @@
     return reply;
   }
 
-  static void Fill(rpc::TaskName& message, const workload::TaskKey& task) {
-    message.set_job(task.job.value);
-    message.set_occurrence(task.occurrence);
-    message.set_step(task.step);
-    message.set_index(task.index);
-  }
-
   void AnswerWaiting() {
     if (this->waiting) {
       const auto respond = std::exchange(this->waiting, std::nullopt);
@@ -458,7 +439,6 @@
 
   Task& task;
   Port& port;
-  InstanceId id;
   std::uint64_t incarnation;
   WorkerAgentSettings settings;
   MetricsRegistry& metrics;
--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -80,9 +80,8 @@
       if (task.phase == TaskPhase::kWaiting) {
         ++waiting;
       } else if (task.phase != TaskPhase::kDone) {
-        running = std::max(running, estimate *
-                                        (100 - std::min(task.percent, 100U)) /
-                                        100);
+        running = std::max(
+            running, estimate * (100 - std::min(task.percent, 100U)) / 100);
       }
     }
     const std::int64_t waves =
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -38,8 +38,7 @@
 
 }  // namespace
 
-JobPlanner::JobPlanner(JobPlannerSettings settings)
-    : settings(settings) {}
+JobPlanner::JobPlanner(JobPlannerSettings settings) : settings(settings) {}
 
 // When a run was ordered and last moved is not stored, so both count from now.
 void JobPlanner::Load(Job job, Instant now) {
@@ -101,10 +100,6 @@
   }
 }
 
-void JobPlanner::ForgetWorker(const InstanceId& agent) {
-  this->workers.erase(agent);
-}
-
 void JobPlanner::ObserveRunning(const InstanceId& agent,
                                 const std::vector<RunningTask>& running,
                                 Instant now) {
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -91,7 +91,6 @@
   void ObserveUnreachable(const InstanceId& agent);
   /// A worker that has never answered this planner.
   void ExpectWorker(const InstanceId& agent, Instant lease_ends);
-  void ForgetWorker(const InstanceId& agent);
   void ObserveRunning(const InstanceId& agent,
                       const std::vector<RunningTask>& running,
                       Instant now);
--- a/tests/daemon/client_test.cc
+++ b/tests/daemon/client_test.cc
@@ -20,8 +20,8 @@
   HttpApi<FakeBackend> api{backend, metrics, ApiLimits{}, "e1"};
   Task task{"entry"};
   http::HttpServer server{task, [this](const auto& request, auto respond) {
-                                this->api.Handle(request, std::move(respond));
-                              }};
+                            this->api.Handle(request, std::move(respond));
+                          }};
   std::string url = "http://127.0.0.1:" +
                     std::to_string(server.Listen("127.0.0.1", 0).value());
 
--- a/tests/daemon/http_api_test.cc
+++ b/tests/daemon/http_api_test.cc
@@ -15,9 +15,9 @@
 namespace carobrill::daemon {
 namespace {
 
-using nlohmann::json;
 using http::HttpRequest;
 using http::HttpResponse;
+using nlohmann::json;
 
 const std::string kRequestBody =
     R"({"account":"acme","class":"urgent","idempotent":true,"deadline_ms":500,)"
@@ -406,11 +406,10 @@
   HttpApi<FakeBackend> api(backend, metrics, ApiLimits{}, "e1");
   Task server_task("server");
   Task client_task("client");
-  http::HttpServer server(
-      server_task,
-      [&](const HttpRequest& request, http::HttpResponder respond) {
-        api.Handle(request, std::move(respond));
-      });
+  http::HttpServer server(server_task, [&](const HttpRequest& request,
+                                           http::HttpResponder respond) {
+    api.Handle(request, std::move(respond));
+  });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
   http::HttpClient client(client_task);
--- a/tests/platform/log_client_test.cc
+++ b/tests/platform/log_client_test.cc
@@ -131,8 +131,9 @@
   Task client_task("client");
   http::HttpResponse response;
   http::HttpServer server(
-      server_task,
-      [&](const http::HttpRequest&, http::HttpResponder respond) { respond(response); });
+      server_task, [&](const http::HttpRequest&, http::HttpResponder respond) {
+        respond(response);
+      });
   const auto port = server.Listen("127.0.0.1", 0).value();
   http::HttpClient http(client_task);
   LogClient client(http, "http://127.0.0.1:" + std::to_string(port));
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -267,11 +267,11 @@
 }
 
 std::future<http::HttpReply> Deployment::Call(int entry,
-                                                  const std::string& method,
-                                                  const std::string& path,
-                                                  const std::string& body,
-                                                  const std::string& key,
-                                                  std::int64_t limit_ms) {
+                                              const std::string& method,
+                                              const std::string& path,
+                                              const std::string& body,
+                                              const std::string& key,
+                                              std::int64_t limit_ms) {
   http::HttpCall call;
   call.method = method;
   call.url = Url(this->entries.at(entry).port) + path;
@@ -345,9 +345,9 @@
 }
 
 http::HttpReply Deployment::Send(const std::string& method,
-                                     std::uint16_t port,
-                                     const std::string& path,
-                                     const std::string& body) {
+                                 std::uint16_t port,
+                                 const std::string& path,
+                                 const std::string& body) {
   http::HttpCall call;
   call.method = method;
   call.url = Url(port) + path;
@@ -407,9 +407,9 @@
 }
 
 std::future<http::HttpReply> Deployment::Publish(int entry,
-                                                     int base_version,
-                                                     const std::string& author,
-                                                     const std::string& text) {
+                                                 int base_version,
+                                                 const std::string& author,
+                                                 const std::string& text) {
   const Json body = {
       {"base_version", base_version}, {"author", author}, {"text", text}};
   return this->Call(entry, "POST", "/v1/rules", body.dump());
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -65,11 +65,11 @@
 
   /// Sends a call to the HTTP API of an entry.
   std::future<http::HttpReply> Call(int entry,
-                                        const std::string& method,
-                                        const std::string& path,
-                                        const std::string& body = "",
-                                        const std::string& key = "",
-                                        std::int64_t limit_ms = 10'000);
+                                    const std::string& method,
+                                    const std::string& path,
+                                    const std::string& body = "",
+                                    const std::string& key = "",
+                                    std::int64_t limit_ms = 10'000);
 
   /// Sends a request to the service "calibration" through an entry.
   std::future<RequestOutcome> Request(int entry, const RequestPlan& plan);
@@ -105,9 +105,9 @@
 
   /// Publishes a rule file through an entry.
   std::future<http::HttpReply> Publish(int entry,
-                                           int base_version,
-                                           const std::string& author,
-                                           const std::string& text);
+                                       int base_version,
+                                       const std::string& author,
+                                       const std::string& text);
 
   int EndpointCount() const { return this->plan.endpoints; }
 
@@ -130,9 +130,9 @@
                             const nlohmann::json& fronted) const;
   bool BecomesReady();
   http::HttpReply Send(const std::string& method,
-                           std::uint16_t port,
-                           const std::string& path,
-                           const std::string& body);
+                       std::uint16_t port,
+                       const std::string& path,
+                       const std::string& body);
 
   DeploymentPlan plan;
   TemporaryDirectory directory;
--- a/tests/process/process_test.cc
+++ b/tests/process/process_test.cc
@@ -84,13 +84,12 @@
   Task server_task("server");
   Task client_task("client");
   std::atomic<int> received = 0;
-  http::HttpServer server(server_task,
-                              [&](const auto& request, auto respond) {
-                                ++received;
-                                http::HttpResponse response;
-                                response.body = request.body;
-                                respond(response);
-                              });
+  http::HttpServer server(server_task, [&](const auto& request, auto respond) {
+    ++received;
+    http::HttpResponse response;
+    response.body = request.body;
+    respond(response);
+  });
   const auto port = server.Listen("127.0.0.1", 0);
   REQUIRE(port.has_value());
   Relay relay(*port);
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -174,9 +174,8 @@
     world.planner.Submit(JobOf("j", step));
     world.Plan();
     for (const auto& [key, task] : world.Held()) {
-      world.planner.ObserveRunning(task.worker.agent,
-                                   {{key, task.run, percent, {}, 0}},
-                                   world.now);
+      world.planner.ObserveRunning(
+          task.worker.agent, {{key, task.run, percent, {}, 0}}, world.now);
     }
     world.now.ms += 5'000;
     world.Answer(0);
