Ask the policy of a queue which workers may run a step

Cause: jobs of queues with an advice policy were stored and never served. The planner now asks the policy about the workers with the most free room, places the step only where a ticket is valid, sends the ticket with the start and asks again when a ticket has run out or was refused.

Ruled out: asking from every agent (more callers than questions at this size), storing tickets (they last seconds; a new planner asks again).

--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -127,6 +127,9 @@
   std::string ready;
   /// Address of the platform's store.
   std::string store;
+  /// Address of the service that names workers for queues with a policy of
+  /// their own; empty when there is none.
+  std::string advice;
   /// The platform's bound for the lease of a task.
   std::int64_t task_lease_limit_ms = 6'000;
   /// The platform's bound within which a removed key must stop working.
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -240,6 +240,11 @@
       {"gateway.store", [](S& s) -> SettingTarget { return &s.gateway.store; },
        "Address of the platform's store.", "", 0, 0,
        SettingForm::kAddressAndPort, SettingNeed::kRequiredInGateway},
+      {"gateway.advice",
+       [](S& s) -> SettingTarget { return &s.gateway.advice; },
+       "Address of the service that names workers for queues with a policy; "
+       "empty for none.",
+       "", 0, 0, SettingForm::kAddressAndPort},
       {"gateway.task_lease_limit_ms",
        [](S& s) -> SettingTarget { return &s.gateway.task_lease_limit_ms; },
        "Longest lease that a worker grants to a task.", "ms", 2'000, kMinuteMs},
--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -195,7 +195,7 @@
     submission.max_attempts = call->queue.max_attempts;
     submission.stretch_percent = call->queue.stretch_percent;
     submission.objective_slack_ms = call->queue.objective_slack_ms;
-    submission.needs_advice = call->queue.needs_advice;
+    submission.advice = call->queue.advice;
     submission.accepted_at = WallClock{}.Now();
     submission.spec = std::move(*call->request.spec);
     call->entry = {JobKey(call->job), workload::EncodeSubmission(submission)};
--- a/packages/gateway/configuration.h
+++ b/packages/gateway/configuration.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "packages/core/ids.h"
+#include "packages/workload/job_spec.h"
 
 namespace carobrill::gateway {
 
@@ -24,7 +26,8 @@
   std::int64_t objective_slack_ms = 0;
   /// Calls need no key.
   bool anonymous = false;
-  bool needs_advice = false;
+  /// A policy outside of carobrill that names the workers for each step.
+  std::optional<workload::AdvicePolicy> advice;
 };
 
 /// One version of what the operator configures.
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -56,13 +56,13 @@
               LogStore& log,
               GatewaySettings settings,
               ConfigurationSource source,
-              ExchangeFunction exchange,
+              PlannerPorts ports,
               MetricsRegistry& metrics)
       : task(task),
         log(log),
         settings(std::move(settings)),
         source(std::move(source)),
-        exchange(std::move(exchange)),
+        ports(std::move(ports)),
         planner_log(metrics),
         planner_gauge(metrics.GetGauge("carobrill_planner",
                                        "1 while this instance plans.")),
@@ -354,7 +354,7 @@
     }
     this->session = std::make_unique<PlannerSession<LogStore>>(
         this->task, this->log, this->settings.instance, this->IdentityOf(epoch),
-        this->settings.session, this->exchange, this->planner_log,
+        this->settings.session, this->ports, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
             this->EndTerm(reason);
@@ -404,7 +404,7 @@
   LogStore& log;
   GatewaySettings settings;
   ConfigurationSource source;
-  ExchangeFunction exchange;
+  PlannerPorts ports;
   PlannerLog planner_log;
   Gauge& planner_gauge;
   PlannerLease lease;
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -12,6 +12,7 @@
 
 #include "packages/core/keyed_log.h"
 #include "packages/core/task.h"
+#include "packages/gateway/advice_caller.h"
 #include "packages/gateway/commit_pipeline.h"
 #include "packages/gateway/planner_log.h"
 #include "packages/gateway/planner_records.h"
@@ -40,6 +41,12 @@
   workload::JobPlannerSettings planner;
 };
 
+/// What a planner calls besides the log.
+struct PlannerPorts {
+  ExchangeFunction exchange;
+  AdviseFunction advise;
+};
+
 /// One term of this instance as the planner: plans, stores what changed, and
 /// sends the agents what is stored.
 template <KeyedLog LogStore>
@@ -52,18 +59,26 @@
                  InstanceId instance,
                  WriterIdentity claim,
                  PlannerSessionSettings settings,
-                 ExchangeFunction exchange,
+                 PlannerPorts ports,
                  PlannerLog& planner_log,
                  std::function<void(std::string reason)> on_lost)
       : task(task),
         instance(std::move(instance)),
         epoch(claim.epoch),
         settings(settings),
-        exchange(std::move(exchange)),
+        ports(std::move(ports)),
         planner_log(planner_log),
         on_lost(std::move(on_lost)),
         planner(settings.planner),
-        commits(task, log, kProgressTopic, claim) {
+        commits(task, log, kProgressTopic, claim),
+        advice(task,
+               this->ports.advise,
+               [this](const workload::AdviceRequest& request,
+                      const std::vector<workload::AdviceGrant>& granted,
+                      Instant expires_at) {
+                 this->planner.ObserveAdvice(request, granted, expires_at);
+                 this->Wake();
+               }) {
     const Instant now = BootClock{}.Now();
     this->stored_at = now;
     this->began_at = now;
@@ -111,7 +126,7 @@
     this->planner.ExpectWorker(agent, this->earlier_leases_end);
     this->links[agent] = std::make_unique<WorkerLink>(
         this->task, agent, address, this->epoch, this->settings.link,
-        this->exchange, this->LinkCallbacks());
+        this->ports.exchange, this->LinkCallbacks());
   }
   void RemoveAgent(const InstanceId& agent) {
     this->links.erase(agent);
@@ -173,6 +188,7 @@
     }
     if (!this->resigned && this->Settled()) {
       this->planner.Plan(this->Time());
+      this->advice.Offer(this->planner.WantedAdvice());
     }
     this->planner_log.Write(this->planner.TakeEvents(), this->epoch);
     this->Flush();
@@ -350,11 +366,12 @@
   InstanceId instance;
   std::uint64_t epoch;
   PlannerSessionSettings settings;
-  ExchangeFunction exchange;
+  PlannerPorts ports;
   PlannerLog& planner_log;
   std::function<void(std::string)> on_lost;
   workload::JobPlanner planner;
   CommitPipeline<LogStore> commits;
+  AdviceCaller advice;
   std::map<InstanceId, std::unique_ptr<WorkerLink>> links;
   std::map<InstanceId, SeenEnds> ends;
   std::uint64_t committed = 0;
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -105,6 +105,7 @@
     message->set_started(order.started);
     message->set_payload(order.payload);
     message->set_checkpoint(order.checkpoint);
+    message->set_ticket(order.ticket);
   }
   this->exchange(this->address, request,
                  now.After(wait_ms + this->settings.answer_ms),
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -101,6 +101,8 @@
 
   /// @{
   /// Known to the planning process only, not stored.
+  /// Ticket that the start of the newest run carries; empty for none.
+  std::string ticket;
   /// Commit that makes the newest assignment durable.
   std::uint64_t commit = 0;
   std::uint32_t percent = 0;
--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -38,6 +38,13 @@
                    fit(demand.accelerators, capacity.accelerators)});
 }
 
+std::int64_t AdviceMs(const Submission& submission) {
+  return submission.advice.has_value()
+             ? submission.advice->decide_ms +
+                   submission.advice->each_ms * kAdvisedWorkers
+             : 0;
+}
+
 }  // namespace
 
 JobObjective::JobObjective(std::vector<Resources> capacities)
@@ -57,7 +64,8 @@
   const JobSpec& spec = job.submission.spec;
   const std::int64_t chain = LongestChain(spec, [&](std::size_t s) {
     const StepSpec& step = spec.steps[s];
-    return step.estimate_ms * this->WavesOf(step, step.tasks);
+    return step.estimate_ms * this->WavesOf(step, step.tasks) +
+           AdviceMs(job.submission);
   });
   return chain * job.submission.stretch_percent / 100 +
          job.submission.objective_slack_ms;
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -181,6 +181,9 @@
     return;
   }
   if (report.end == RunEnd::kRefused) {
+    this->advice.Drop(
+        {report.task.job, report.task.occurrence, report.task.step},
+        worker.description.life);
     worker.refused_until = now.After(this->settings.refused_ms);
     return;
   }
@@ -263,6 +266,7 @@
     }
   }
   this->objective = JobObjective(std::move(capacities));
+  this->wanted_advice.clear();
   auto waiting = this->CollectWaiting(time);
   std::ranges::stable_sort(waiting, [](const Waiting& a, const Waiting& b) {
     return std::pair(a.rank, a.slack_ms) < std::pair(b.rank, b.slack_ms);
@@ -313,6 +317,7 @@
   for (const JobId& id : expired) {
     this->jobs.erase(id);
     this->changed.erase(id);
+    this->advice.Forget(id);
   }
   return expired;
 }
@@ -329,12 +334,13 @@
           worker->second.description.life != task.worker) {
         return;
       }
-      TaskOrder order{key, task.run, false, true, {}, {}};
+      TaskOrder order{key, task.run, false, true, {}, {}, {}};
       order.stop = task.phase == TaskPhase::kStopping;
       order.started = task.phase != TaskPhase::kStarting;
       if (!order.started) {
         order.payload = job.submission.spec.payload;
         order.checkpoint = task.checkpoint;
+        order.ticket = task.ticket;
       }
       orders[task.worker.agent].push_back(std::move(order));
     });
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "packages/workload/advice_book.h"
 #include "packages/workload/job.h"
 #include "packages/workload/job_objective.h"
 #include "packages/workload/job_transitions.h"
@@ -53,6 +54,7 @@
   bool started = false;
   std::string payload;
   std::string checkpoint;
+  std::string ticket;
 };
 
 /// A run that a worker shows as running.
@@ -99,6 +101,17 @@
                   const TransitionTime& time);
   /// @}
 
+  /// Questions to the queues' policies without which steps cannot be placed, as
+  /// of the last Plan(); the most urgent first.
+  const std::vector<AdviceRequest>& WantedAdvice() const {
+    return this->wanted_advice;
+  }
+
+  /// A policy's answer. `expires_at` (boot clock) ends the tickets.
+  void ObserveAdvice(const AdviceRequest& request,
+                     const std::vector<AdviceGrant>& granted,
+                     Instant expires_at);
+
   /// Nothing is held by workers that are not known by then (boot clock).
   void SetUnknownWorkersLostAt(Instant deadline);
 
@@ -150,6 +163,10 @@
                   const TransitionTime& time,
                   std::vector<Waiting>& waiting);
   void Serve(Waiting& waiting, RoomMap& map, const TransitionTime& time);
+  bool ServeNearAndFar(Waiting& waiting,
+                       RoomMap& map,
+                       const TransitionTime& time);
+  void WantAdvice(const Waiting& waiting, const RoomMap& map, Instant now);
   bool TryPlace(const Waiting& waiting,
                 RoomMap& map,
                 const PlacementRules& rules,
@@ -200,6 +217,8 @@
   std::map<InstanceId, Worker> workers;
   std::map<AccountId, std::int64_t> guarantees;
   std::set<JobId> guaranteed_jobs;
+  AdviceBook advice;
+  std::vector<AdviceRequest> wanted_advice;
   JobObjective objective{{}};
   /// Boot clock: when each waiting unit could first have run.
   std::map<TaskKey, Instant> waiting_since;
--- a/packages/workload/job_planner_serve.cc
+++ b/packages/workload/job_planner_serve.cc
@@ -22,6 +22,9 @@
 /// Cores that one accelerator counts as, in prices of wasted work.
 constexpr double kCoresPerAccelerator = 8;
 
+/// Most workers that a policy takes in one question.
+constexpr std::size_t kAdvisedWorkersAtMost = 100;
+
 /// Highest priority number whose work is never worth protecting further.
 constexpr std::uint32_t kLowestPriority = 4;
 
@@ -130,7 +133,23 @@
       ++waiting.unit.held[task.worker];
     }
   }
-  const bool urgent = submission.priority == 0;
+  if (!submission.advice.has_value()) {
+    this->ServeNearAndFar(waiting, map, time);
+    return;
+  }
+  const StepKey step{submission.id, waiting.unit.occurrence, waiting.unit.step};
+  waiting.unit.allowed = this->advice.Granted(step, time.now);
+  if (!this->ServeNearAndFar(waiting, map, time)) {
+    this->WantAdvice(waiting, map, time.now);
+  }
+}
+
+// Returns true when the unit has been placed, or waits for room on workers that
+// were chosen for it.
+bool JobPlanner::ServeNearAndFar(Waiting& waiting,
+                                 RoomMap& map,
+                                 const TransitionTime& time) {
+  const bool urgent = waiting.unit.submission->priority == 0;
   const std::int64_t patience = urgent ? this->settings.urgent_rack_patience_ms
                                        : this->settings.rack_patience_ms;
   const bool any_rack = time.now >= waiting.since.After(patience);
@@ -138,25 +157,78 @@
   const PlacementRules near_soon{RoomKind::kSoon, false, false};
   if (this->TryPlace(waiting, map, near, time.now) ||
       this->TryWait(waiting, map, near_soon)) {
-    return;
+    return true;
   }
   const bool worth_stopping =
       urgent && this->IsWorthStopping(waiting, time.now);
   if (worth_stopping && this->TryPreempt(waiting, map, near_soon, time)) {
-    return;
+    return true;
   }
   for (const bool rack : {false, true}) {
     if (rack && !any_rack) {
-      return;
+      return false;
     }
     const PlacementRules free{RoomKind::kFree, rack, true};
     const PlacementRules soon{RoomKind::kSoon, rack, true};
     if (this->TryPlace(waiting, map, free, time.now) ||
         this->TryWait(waiting, map, soon) ||
         (worth_stopping && this->TryPreempt(waiting, map, soon, time))) {
-      return;
+      return true;
+    }
+  }
+  return false;
+}
+
+// A step is asked about once per run of the planner, over the workers with the
+// most free room; denied ones make way for others the next time.
+void JobPlanner::WantAdvice(const Waiting& waiting,
+                            const RoomMap& map,
+                            Instant now) {
+  const PlacementUnit& unit = waiting.unit;
+  const StepKey step{unit.submission->id, unit.occurrence, unit.step};
+  if (std::ranges::find(this->wanted_advice, step, &AdviceRequest::step) !=
+      this->wanted_advice.end()) {
+    return;
+  }
+  PlacementUnit anywhere = unit;
+  anywhere.allowed.reset();
+  const PlacementRules rules{RoomKind::kFree, true, true};
+  std::vector<std::pair<double, WorkerLife>> candidates;
+  for (const WorkerRoom& room : map.Rooms()) {
+    const WorkerDescription& worker = room.worker->description;
+    if (Eligible(anywhere, room, rules) &&
+        unit.Spec().Room().FitsIn(worker.capacity) &&
+        this->advice.MayAsk(step, worker.life, now)) {
+      candidates.emplace_back(-DominantShare(room.free, worker.capacity),
+                              worker.life);
+    }
+  }
+  std::ranges::sort(candidates);
+  AdviceRequest request{step, {}, *unit.submission->advice};
+  const std::size_t most = std::clamp<std::size_t>(
+      2 * unit.tasks.size(), kAdvisedWorkers, kAdvisedWorkersAtMost);
+  for (const auto& [rank, life] : candidates) {
+    if (request.workers.size() < most) {
+      request.workers.push_back(life);
     }
   }
+  if (!request.workers.empty()) {
+    this->wanted_advice.push_back(std::move(request));
+  }
+}
+
+void JobPlanner::ObserveAdvice(const AdviceRequest& request,
+                               const std::vector<AdviceGrant>& granted,
+                               Instant expires_at) {
+  if (!this->jobs.contains(request.step.job)) {
+    return;
+  }
+  this->advice.Note(request, granted, expires_at);
+  this->Note(PlannerEventKind::kAdvised,
+             {request.step.job, request.step.occurrence, request.step.step, 0},
+             0, {},
+             std::to_string(granted.size()) + " of " +
+                 std::to_string(request.workers.size()) + " workers granted");
 }
 
 // Stopped work is mostly lost, so it is stopped only when a wait would cost the
@@ -336,6 +408,9 @@
     task.run = run;
     task.worker = map.Rooms()[workers[i]].worker->description.life;
     task.commit = this->next_commit;
+    const std::string* ticket = this->advice.TicketFor(
+        {unit.submission->id, unit.occurrence, unit.step}, task.worker, now);
+    task.ticket = ticket == nullptr ? std::string() : *ticket;
     task.percent = 0;
     task.ordered_at = now;
     task.progress_at = now;
--- a/packages/workload/job_spec.h
+++ b/packages/workload/job_spec.h
@@ -2,6 +2,7 @@
 #define PACKAGES_WORKLOAD_JOB_SPEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,22 @@
   }
 };
 
+/// A policy outside of carobrill that names the workers which may run a step.
+struct AdvicePolicy {
+  /// @{
+  /// Time of an answer, in ms: a constant part, and one per worker asked about.
+  std::int64_t decide_ms = 0;
+  std::int64_t each_ms = 0;
+  /// @}
+  /// How long a ticket is valid, in ms.
+  std::int64_t valid_ms = 0;
+
+  bool operator==(const AdvicePolicy&) const = default;
+};
+
+/// Workers in the one question about a step that an objective allows for.
+inline constexpr std::int64_t kAdvisedWorkers = 30;
+
 /// An accepted job with what its queue said of it when it was accepted.
 struct Submission {
   JobId id;
@@ -85,8 +102,8 @@
   /// `objective_slack_ms` more.
   std::uint32_t stretch_percent = 100;
   std::int64_t objective_slack_ms = 0;
-  /// The queue's policy names the workers that may run a step.
-  bool needs_advice = false;
+  /// Set when a policy of the queue's own names the workers for each step.
+  std::optional<AdvicePolicy> advice;
   /// Time of day (Unix ms) of the acceptance.
   Instant accepted_at;
   JobSpec spec;
--- a/packages/workload/placement.cc
+++ b/packages/workload/placement.cc
@@ -116,7 +116,9 @@
                     worker.rack.value == spec.data_rack;
   const bool labelled =
       spec.worker_label.empty() || worker.labels.contains(spec.worker_label);
-  return room.usable && near && labelled &&
+  const bool allowed =
+      !unit.allowed.has_value() || unit.allowed->contains(worker.life);
+  return room.usable && near && labelled && allowed &&
          (rules.any_health || !room.avoided) &&
          worker.service == unit.submission->service;
 }
--- a/packages/workload/placement.h
+++ b/packages/workload/placement.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "packages/workload/job.h"
@@ -19,6 +20,8 @@
   std::vector<std::uint32_t> tasks;
   /// Tasks of the same step that each worker holds already.
   std::map<WorkerLife, std::uint32_t> held;
+  /// Workers that the queue's policy allows; unset when it has none.
+  std::optional<std::set<WorkerLife>> allowed;
 
   const StepSpec& Spec() const { return this->submission->spec.steps[step]; }
 };
--- a/packages/workload/planner_event.h
+++ b/packages/workload/planner_event.h
@@ -19,6 +19,7 @@
   kStalled,
   kWorkerAvoided,
   kJobEnded,
+  kAdvised,
 };
 
 constexpr auto NamesOf(PlannerEventKind) {
@@ -30,6 +31,7 @@
       {PlannerEventKind::kStalled, "task_stalled"},
       {PlannerEventKind::kWorkerAvoided, "worker_avoided"},
       {PlannerEventKind::kJobEnded, "job_ended"},
+      {PlannerEventKind::kAdvised, "workers_advised"},
   });
 }
 
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -114,7 +114,12 @@
   record.set_max_attempts(submission.max_attempts);
   record.set_stretch_percent(submission.stretch_percent);
   record.set_objective_slack_ms(submission.objective_slack_ms);
-  record.set_needs_advice(submission.needs_advice);
+  if (submission.advice.has_value()) {
+    auto* advice = record.mutable_advice();
+    advice->set_decide_ms(submission.advice->decide_ms);
+    advice->set_each_ms(submission.advice->each_ms);
+    advice->set_valid_ms(submission.advice->valid_ms);
+  }
   record.set_accepted_at_unix_ms(submission.accepted_at.ms);
   record.set_payload(submission.spec.payload);
   for (const StepSpec& step : submission.spec.steps) {
@@ -140,7 +145,10 @@
   submission.max_attempts = record.max_attempts();
   submission.stretch_percent = record.stretch_percent();
   submission.objective_slack_ms = record.objective_slack_ms();
-  submission.needs_advice = record.needs_advice();
+  if (record.has_advice()) {
+    submission.advice = {record.advice().decide_ms(), record.advice().each_ms(),
+                         record.advice().valid_ms()};
+  }
   submission.accepted_at.ms = record.accepted_at_unix_ms();
   submission.spec.payload = record.payload();
   for (const auto& step : record.steps()) {
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include "platform/advice_client.h"
 #include "platform/configuration_codec.h"
 #include "platform/heartbeat_codec.h"
 #include "platform/job_codec.h"
@@ -144,5 +145,28 @@
   CHECK(EncodeAnswer(answer).body == R"({"state":"running"})");
 }
 
+TEST_CASE("an advice names workers and tickets; other rows are left out") {
+  const auto advice = detail::DecodeAdvice(
+      R"({"granted":[["i-1","c81e"],["i-2"],7],"valid_ms":3000})");
+  CHECK(advice.answered);
+  CHECK(advice.valid_ms == 3'000);
+  REQUIRE(advice.granted.size() == 1);
+  CHECK(advice.granted[0].worker == WorkerId("i-1"));
+  CHECK(advice.granted[0].ticket == "c81e");
+  CHECK_FALSE(detail::DecodeAdvice("[]").answered);
+  CHECK_FALSE(detail::DecodeAdvice(R"({"granted":5})").answered);
+  CHECK(EncodeStepName({JobId("5c0e7a21d94b36f8"), 1, 2}) ==
+        "5c0e7a21d94b36f8.1.2");
+}
+
+TEST_CASE("a queue's advice is read with its times") {
+  auto configuration = DecodeConfiguration(
+      R"({"version":3,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+      R"("service":"s","advice":{"decide_ms":20,"each_ms":2,"valid_ms":900}}]})");
+  REQUIRE(configuration);
+  CHECK(configuration->queues.at(0).advice ==
+        workload::AdvicePolicy{20, 2, 900});
+}
+
 }  // namespace
 }  // namespace carobrill::adapter
--- /dev/null
+++ b/tests/gateway/advice_caller_test.cc
@@ -0,0 +1,81 @@
+#include "packages/gateway/advice_caller.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+namespace carobrill::gateway {
+namespace {
+
+workload::AdviceRequest Question(const std::string& job) {
+  return {{JobId(job), 0, 0},
+          {{InstanceId("agent"), WorkerId("w"), 1}},
+          {100, 10, 3'000}};
+}
+
+struct Fixture {
+  Fixture()
+      : task("test"),
+        caller(
+            task,
+            [this](const workload::AdviceRequest& request,
+                   Instant,
+                   std::function<void(AdviceReply)> callback) {
+              this->asked.push_back(request.step.job);
+              this->callback = std::move(callback);
+            },
+            [this](const workload::AdviceRequest&,
+                   const std::vector<workload::AdviceGrant>& granted,
+                   Instant expires_at) {
+              this->granted = granted;
+              this->expires_at = expires_at;
+            }) {}
+
+  Task task;
+  std::vector<JobId> asked;
+  std::function<void(AdviceReply)> callback;
+  std::optional<std::vector<workload::AdviceGrant>> granted;
+  Instant expires_at;
+  AdviceCaller caller;
+};
+
+TEST_CASE("questions to a policy are asked one at a time") {
+  // Guards against a queue of calls at a service that answers in turn.
+  Fixture fixture;
+  fixture.task.Run([&] {
+    fixture.caller.Offer({Question("a"), Question("b")});
+    fixture.caller.Offer({Question("b")});
+    CHECK(fixture.asked.size() == 1);
+    fixture.callback({true, {{WorkerId("w"), "t"}}, 2'000});
+    REQUIRE(fixture.granted.has_value());
+    CHECK(fixture.granted->front().ticket == "t");
+    fixture.caller.Offer({Question("b")});
+    CHECK(fixture.asked.back() == JobId("b"));
+  });
+}
+
+TEST_CASE("a question without an answer grants nothing and is repeated later") {
+  Fixture fixture;
+  fixture.task.Run([&] {
+    fixture.caller.Offer({Question("a")});
+    fixture.callback({});
+    CHECK_FALSE(fixture.granted.has_value());
+    fixture.caller.Offer({Question("a")});
+    CHECK(fixture.asked.size() == 1);
+  });
+}
+
+TEST_CASE("a ticket's time ends no later than counted from its decision") {
+  // Guards against starts with a ticket that the worker takes for expired.
+  Fixture fixture;
+  fixture.task.Run([&] {
+    const Instant sent = BootClock{}.Now();
+    fixture.caller.Offer({Question("a")});
+    fixture.callback({true, {}, 2'000});
+    CHECK(fixture.expires_at >= sent.After(2'000));
+    CHECK(fixture.expires_at <= BootClock{}.Now().After(2'000));
+  });
+}
+
+}  // namespace
+}  // namespace carobrill::gateway
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -15,7 +15,7 @@
   Configuration configuration;
   configuration.version = 1;
   configuration.queues.push_back(
-      {"q", "host", "/jobs/", ServiceId("s"), 1, 2, 300, 1'000, false, false});
+      {"q", "host", "/jobs/", ServiceId("s"), 1, 2, 300, 1'000, false, {}});
   configuration.account_of_key["key"] = AccountId("a");
   return configuration;
 }
@@ -46,8 +46,11 @@
                               [](const std::string&) {
                                 return std::optional(TestConfiguration());
                               }},
-          [](const std::string&, const rpc::ExchangeRequest&, Instant,
-             const rpc::RpcCallback<rpc::ExchangeReply>&) {},
+          PlannerPorts{
+              [](const std::string&, const rpc::ExchangeRequest&, Instant,
+                 const rpc::RpcCallback<rpc::ExchangeReply>&) {},
+              [](const workload::AdviceRequest&, Instant,
+                 const std::function<void(AdviceReply)>&) {}},
           this->metrics));
       this->gateways.back()->Start();
     });
