Slow filler tasks down while a serving task beside them misses its target

Cause: fillers always worked at full pace, so a serving task could stay over its tail latency because of them. The agent decides, since it sees each figure first.

Ruled out: a decision in the planner (one exchange later, and more traffic).

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -106,6 +106,8 @@
     message->set_payload(order.payload);
     message->set_checkpoint(order.checkpoint);
     message->set_ticket(order.ticket);
+    message->set_filler(order.filler);
+    message->set_latency_target_ms(order.latency_target_ms);
   }
   this->exchange(this->address, request,
                  now.After(wait_ms + this->settings.answer_ms),
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -67,6 +67,12 @@
   this->orders_known = true;
 }
 
+RunTraits RunTable::TraitsOf(const RunKey& run) const {
+  const auto found = this->wanted.find(run);
+  return found == this->wanted.end() ? RunTraits()
+                                     : found->second.desired.traits;
+}
+
 bool RunTable::Listed(const RunKey& run) const {
   return Contains(this->running, run) || Contains(this->ended, run);
 }
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -12,6 +12,14 @@
 
 namespace carobrill::worker_agent {
 
+/// What matters to the tasks beside a run on the same worker.
+struct RunTraits {
+  /// The task takes processor time that others leave unused.
+  bool filler = false;
+  /// Tail latency that the task must stay below, in ms; 0 for none.
+  std::int64_t latency_target_ms = 0;
+};
+
 /// What the planner wants of one run.
 struct DesiredRun {
   workload::TaskKey task;
@@ -22,6 +30,7 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  RunTraits traits;
 };
 
 /// Names one run.
@@ -71,6 +80,9 @@
   /// The worker's process is gone, and with it all runs.
   void OnWorkerGone();
 
+  /// Traits of a wanted run; those of a plain task for any other.
+  RunTraits TraitsOf(const RunKey& run) const;
+
   /// Runs that the worker lists.
   const std::vector<ListedRun>& Running() const { return this->running; }
 
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -15,6 +15,7 @@
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/task_names.h"
 #include "packages/rpc/worker_control.pb.h"
+#include "packages/worker_agent/pace_controller.h"
 #include "packages/worker_agent/run_table.h"
 #include "packages/worker_agent/worker_port.h"
 
@@ -33,6 +34,7 @@
   /// Refused connections in a row after which the worker's process is gone.
   std::uint32_t refused_connections = 2;
   RunTableSettings runs;
+  PaceSettings pace;
 };
 
 /// Stands beside one worker: passes on the planner's orders, keeps the leases
@@ -52,6 +54,7 @@
         settings(settings),
         metrics(metrics),
         runs(settings.runs),
+        pace(settings.pace),
         fence(static_cast<std::uint64_t>(WallClock{}.Now().ms)) {}
 
   ~WorkerAgent() { *this->alive = false; }
@@ -154,9 +157,14 @@
         std::max(this->acknowledged_end, request.acknowledged_end());
     std::vector<DesiredRun> desired;
     for (const auto& order : request.orders()) {
-      desired.push_back({rpc::FromMessage(order.task()), order.run(),
-                         order.stop(), order.started(), order.payload(),
-                         order.checkpoint(), order.ticket()});
+      desired.push_back({rpc::FromMessage(order.task()),
+                         order.run(),
+                         order.stop(),
+                         order.started(),
+                         order.payload(),
+                         order.checkpoint(),
+                         order.ticket(),
+                         {order.filler(), order.latency_target_ms()}});
     }
     this->runs.SetDesired(std::move(desired), BootClock{}.Now());
     this->SendDue();
@@ -293,6 +301,28 @@
         });
   }
 
+  void SendPaces() {
+    const Instant now = BootClock{}.Now();
+    for (const PaceChange& change :
+         this->pace.Update(this->runs.Running(), this->runs, now)) {
+      this->port.Pace(
+          {change.task, change.run, change.percent, this->fence,
+           this->description.life.id},
+          now.After(this->settings.answer_ms),
+          [this, alive = this->alive, change, life = this->description.life,
+           sent = now](OrderResult result) {
+            if (*alive && life == this->description.life) {
+              const RunKey key{change.task, change.run};
+              this->LogOrder("pace " + std::to_string(change.percent), key,
+                             result, sent);
+              if (result != OrderResult::kDone) {
+                this->pace.OnFailure(key);
+              }
+            }
+          });
+    }
+  }
+
   // A refusal for the fence means that orders of an earlier process of this
   // agent carried a higher one: a clock that stepped back.
   void OnOrderResult(OrderResult result) {
@@ -393,6 +423,7 @@
     }
     this->ReportChanges();
     this->SendDue();
+    this->SendPaces();
     // Listed ends would be returned again at once until they are stored.
     const bool unstored = this->listed_end > this->acknowledged_end;
     this->HoldAfter(unstored ? this->settings.ack_wait_ms : 0);
@@ -412,6 +443,7 @@
 
   void BeginLife() {
     this->runs.Reset();
+    this->pace.Reset();
     this->listed = false;
     this->gone = false;
     this->refused = 0;
@@ -443,6 +475,7 @@
   WorkerAgentSettings settings;
   MetricsRegistry& metrics;
   RunTable runs;
+  PaceController pace;
   /// Higher than that of any order of an earlier process of this agent.
   std::uint64_t fence;
   workload::WorkerDescription description;
--- a/packages/worker_agent/worker_port.h
+++ b/packages/worker_agent/worker_port.h
@@ -43,6 +43,15 @@
   WorkerId worker;
 };
 
+/// An order to let a run work at a share of its speed, from 0 to 100 percent.
+struct PaceOrder {
+  workload::TaskKey task;
+  std::uint32_t run = 0;
+  std::uint32_t percent = 0;
+  std::uint64_t fence = 0;
+  WorkerId worker;
+};
+
 /// Outcome of an order.
 enum class OrderResult {
   kDone,
@@ -131,6 +140,7 @@
 concept WorkerPort = requires(T& port,
                               StartOrder start,
                               StopOrder stop,
+                              PaceOrder pace,
                               LeaseCall lease,
                               Instant deadline,
                               std::function<void(StartReply)> started,
@@ -138,6 +148,7 @@
                               std::function<void(LeaseReply)> held) {
   port.Start(start, deadline, started);
   port.Stop(stop, deadline, stopped);
+  port.Pace(pace, deadline, stopped);
   port.Hold(lease, deadline, held);
 };
 
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -334,7 +334,11 @@
           worker->second.description.life != task.worker) {
         return;
       }
-      TaskOrder order{key, task.run, false, true, {}, {}, {}};
+      TaskOrder order;
+      order.task = key;
+      order.run = task.run;
+      order.filler = job.SpecOf(key).filler;
+      order.latency_target_ms = job.SpecOf(key).latency_target_ms;
       order.stop = task.phase == TaskPhase::kStopping;
       order.started = task.phase != TaskPhase::kStarting;
       if (!order.started) {
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -55,6 +55,9 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  /// As in StepSpec.
+  bool filler = false;
+  std::int64_t latency_target_ms = 0;
 };
 
 /// A run that a worker shows as running.
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -9,7 +9,7 @@
 const RunKey kRun{kTask, 3};
 
 DesiredRun Wanted(bool stop = false, bool started = false) {
-  return {kTask, 3, stop, started, "payload", "", ""};
+  return {kTask, 3, stop, started, "payload", "", "", {}};
 }
 
 LeaseReply Lists(bool running, std::vector<ListedEnd> ended = {}) {
