Refuse submissions at once while the log is away, and never untruly

A gateway none of whose reads succeeds now refuses before it stores anything, with the time to come back. A job whose append got no answer is not refused as not done for 15 s, since that append may be carried out late. The margin kept back from a client's deadline is 60 ms instead of 150: a call with 130 ms left was refused although an append takes 15.

The end of a job is logged with the time left to its objective.

--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,13 +35,17 @@
   /// Age of the view after which a gateway without an answer from the log
   /// refuses at once, so that the client turns to another gateway.
   std::int64_t cut_off_ms = 2'000;
-  /// Kept back from a client's deadline for the way of the answer.
-  std::int64_t answer_margin_ms = 150;
+  /// Kept back from a client's deadline for the way of the answer, which takes
+  /// 3 ms, and for a process that is a few times slower than usual.
+  std::int64_t answer_margin_ms = 60;
   std::int64_t retry_ms = 80;
   /// Attempts of an append that the log refused.
   std::uint32_t refused_attempts = 4;
   /// What a caller is told to wait after a refusal.
   std::int64_t retry_after_ms = 300;
+  /// How long a submission without an answer from the log may still be carried
+  /// out; its job is not refused as not done for that time.
+  std::int64_t late_append_ms = 15'000;
 };
 
 /// What the caller API reads; set by the owner and used on its task.
@@ -51,6 +56,8 @@
   std::function<Instant()> configuration_fresh_at;
   /// Boot clock: the view holds all that was stored before this.
   std::function<Instant()> view_fresh_at;
+  /// True while no read of the log succeeds.
+  std::function<bool()> log_failing;
   /// Runs the callback when the view holds all that is stored now.
   std::function<void(std::function<void(bool)>)> barrier;
 };
@@ -283,7 +290,8 @@
       this->GiveUp(*call, "deadline");
       return;
     }
-    if (now >= this->sources.view_fresh_at().After(this->settings.cut_off_ms)) {
+    if (this->sources.log_failing() ||
+        now >= this->sources.view_fresh_at().After(this->settings.cut_off_ms)) {
       this->GiveUp(*call, "cut off from the log");
       return;
     }
@@ -308,7 +316,10 @@
       return;
     }
     const bool refused = failure == KeyedLogFailure::kRefused;
-    call->maybe_stored = !refused;
+    if (!refused) {
+      call->maybe_stored = true;
+      this->NoteUnanswered(call->job);
+    }
     if (!refused || call->attempts >= this->settings.refused_attempts) {
       this->GiveUp(*call, NameOf(failure));
       return;
@@ -321,10 +332,24 @@
                       });
   }
 
+  // An earlier attempt of the client may be the one that is carried out late.
+  void NoteUnanswered(const JobId& job) {
+    const Instant now = BootClock{}.Now();
+    std::erase_if(this->unanswered,
+                  [&](const auto& entry) { return entry.second <= now; });
+    this->unanswered[job] = now.After(this->settings.late_append_ms);
+  }
+
+  bool MaybeStored(const Call& call) const {
+    const auto earlier = this->unanswered.find(call.job);
+    return call.maybe_stored || (earlier != this->unanswered.end() &&
+                                 BootClock{}.Now() < earlier->second);
+  }
+
   void GiveUp(Call& call, std::string_view reason) {
     this->Answer(call,
-                 call.maybe_stored ? Plain(CallerOutcome::kOutcomeUnknown)
-                                   : this->NotDone(),
+                 this->MaybeStored(call) ? Plain(CallerOutcome::kOutcomeUnknown)
+                                         : this->NotDone(),
                  reason);
   }
 
@@ -359,6 +384,9 @@
   CallerSources sources;
   CallerSettings settings;
   MetricsRegistry& metrics;
+  /// Jobs whose append got no answer, until when it may be carried out (boot
+  /// clock).
+  std::map<JobId, Instant> unanswered;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -162,14 +162,16 @@
   }
 
   CallerSources Sources() {
-    return {[this] { return this->CurrentConfiguration(); },
-            [this] { return this->operator_topic.FreshAt(); },
-            [this] {
-              return std::min(this->intake.FreshAt(), this->progress.FreshAt());
-            },
-            [this](std::function<void(bool)> done) {
-              this->intake.Barrier(std::move(done));
-            }};
+    return {
+        [this] { return this->CurrentConfiguration(); },
+        [this] { return this->operator_topic.FreshAt(); },
+        [this] {
+          return std::min(this->intake.FreshAt(), this->progress.FreshAt());
+        },
+        [this] { return this->intake.Failing() && this->progress.Failing(); },
+        [this](std::function<void(bool)> done) {
+          this->intake.Barrier(std::move(done));
+        }};
   }
 
   void OnIntake(const KeyedRecord& record) {
--- a/packages/gateway/planner_log.cc
+++ b/packages/gateway/planner_log.cc
@@ -50,6 +50,9 @@
          {"worker", event.worker.value},
          {"detail", event.detail},
          {"age_ms", std::to_string(event.age_ms)},
+         {"slack_ms", event.slack_ms.has_value()
+                          ? std::to_string(*event.slack_ms)
+                          : std::string()},
          {"epoch", std::to_string(epoch)}});
   }
 }
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -61,8 +61,7 @@
   const auto job = this->jobs.find(id);
   if (job != this->jobs.end() && RequestCancel(job->second, time)) {
     this->changed.insert(id);
-    this->Note(PlannerEventKind::kJobEnded, {id, 0, 0, 0}, 0, {},
-               std::string(NameOf(job->second.phase)));
+    this->NoteJobEnd(job->second, {id, 0, 0, 0}, 0, {}, time.wall);
   }
 }
 
@@ -164,9 +163,7 @@
     this->NoteOutcome(worker->second, report, job, time.now);
   }
   if (!was_final && IsFinal(job.phase)) {
-    this->Note(PlannerEventKind::kJobEnded, report.task, report.run, life.id,
-               std::string(NameOf(job.phase)),
-               time.wall.ms - job.submission.accepted_at.ms);
+    this->NoteJobEnd(job, report.task, report.run, life.id, time.wall);
   }
 }
 
@@ -356,13 +353,26 @@
   return std::exchange(this->events, {});
 }
 
+void JobPlanner::NoteJobEnd(const Job& job,
+                            const TaskKey& task,
+                            std::uint32_t run,
+                            const WorkerId& worker,
+                            Instant wall) {
+  this->Note(PlannerEventKind::kJobEnded, task, run, worker,
+             std::string(NameOf(job.phase)),
+             wall.ms - job.submission.accepted_at.ms);
+  this->events.back().slack_ms =
+      this->objective.DeadlineOf(job, task.occurrence).ms - wall.ms;
+}
+
 void JobPlanner::Note(PlannerEventKind kind,
                       const TaskKey& task,
                       std::uint32_t run,
                       const WorkerId& worker,
                       std::string detail,
                       std::int64_t age_ms) {
-  this->events.push_back({kind, task, run, worker, std::move(detail), age_ms});
+  this->events.push_back(
+      {kind, task, run, worker, std::move(detail), age_ms, {}});
 }
 
 }  // namespace carobrill::workload
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -208,6 +208,11 @@
                 const RunReport& report,
                 PlannerEventKind kind,
                 const TransitionTime& time);
+  void NoteJobEnd(const Job& job,
+                  const TaskKey& task,
+                  std::uint32_t run,
+                  const WorkerId& worker,
+                  Instant wall);
   void Note(PlannerEventKind kind,
             const TaskKey& task,
             std::uint32_t run,
--- a/packages/workload/planner_event.h
+++ b/packages/workload/planner_event.h
@@ -2,6 +2,7 @@
 #define PACKAGES_WORKLOAD_PLANNER_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "packages/core/ids.h"
@@ -45,6 +46,9 @@
   std::string detail;
   /// Time that led to the decision, in ms: a wait, an age or a run time.
   std::int64_t age_ms = 0;
+  /// Time left to the job's objective, below 0 when it is missed; for the end
+  /// of a job only.
+  std::optional<std::int64_t> slack_ms;
 };
 
 }  // namespace carobrill::workload
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -188,6 +188,44 @@
   }
 }
 
+TEST_CASE("a job whose append got no answer is not refused as not done later") {
+  // Guards against 'not done' for a repeated submission whose first append is
+  // carried out late.
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor(
+      [&] { return cluster.Ready(0) && cluster.Planners() == 1; }));
+  using F = KeyedLogFailure;
+  cluster.task.Run([&] { cluster.log.unanswered_take_effect = false; });
+  cluster.FailAppends(std::vector<F>(30, F::kNoAnswer));
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, kId).outcome ==
+        CallerOutcome::kOutcomeUnknown);
+  cluster.FailAppends(std::vector<F>(60, F::kRefused));
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, kId, "key", 300).outcome ==
+        CallerOutcome::kOutcomeUnknown);
+  CHECK(cluster.Call(0, CallerVerb::kSubmit, "fedcba9876543210").outcome ==
+        CallerOutcome::kNotDone);
+}
+
+TEST_CASE("a gateway whose reads fail refuses without trying to store") {
+  // Guards against answers of unknown outcome, after which clients use up their
+  // attempts within a second, when the log is known to be away.
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor([&] { return cluster.Ready(0); }));
+  cluster.task.Run([&] { cluster.log.FailReads(true); });
+  g_usleep(50'000);
+  const auto answer = cluster.Call(0, CallerVerb::kSubmit, kId);
+  CHECK(answer.outcome == CallerOutcome::kNotDone);
+  CHECK(answer.retry_after_ms > 0);
+  CHECK(cluster.log.Entries(kIntakeTopic).empty());
+  cluster.task.Run([&] { cluster.log.FailReads(false); });
+  CHECK(cluster.WaitFor([&] {
+    return cluster.Call(0, CallerVerb::kSubmit, kId).outcome ==
+           CallerOutcome::kAccepted;
+  }));
+}
+
 TEST_CASE("calls without a known key or queue are told so") {
   Cluster cluster;
   cluster.Add("g1");
--- a/tests/gateway/memory_log.cc
+++ b/tests/gateway/memory_log.cc
@@ -51,7 +51,7 @@
   if (!this->append_faults.empty()) {
     const KeyedLogFailure fault = this->append_faults.front();
     this->append_faults.erase(this->append_faults.begin());
-    if (fault != KeyedLogFailure::kRefused) {
+    if (fault != KeyedLogFailure::kRefused && this->unanswered_take_effect) {
       this->Apply(append, this->topics[append.topic]);
     }
     reply.failure = fault;
@@ -61,6 +61,15 @@
   this->task.Post([reply, callback = std::move(callback)] { callback(reply); });
 }
 
+void MemoryLog::FailReads(bool fail) {
+  this->reads_fail = fail;
+  for (auto& [name, topic] : this->topics) {
+    for (auto& reader : std::exchange(topic.readers, {})) {
+      this->task.Post(std::move(reader));
+    }
+  }
+}
+
 void MemoryLog::Read(const KeyedRead& read,
                      std::function<void(KeyedReadReply)> callback) {
   auto answered = std::make_shared<bool>(false);
@@ -70,6 +79,11 @@
     }
     const Topic& topic = this->topics[read.topic];
     KeyedReadReply reply;
+    if (this->reads_fail) {
+      reply.failure = KeyedLogFailure::kNoAnswer;
+      callback(std::move(reply));
+      return;
+    }
     for (Offset at = read.from; at < topic.entries.size(); ++at) {
       reply.records.push_back({at, topic.entries[at]});
     }
--- a/tests/gateway/memory_log.h
+++ b/tests/gateway/memory_log.h
@@ -29,6 +29,11 @@
   /// What the next appends answer instead of their result: kNoAnswer takes
   /// effect all the same, kRefused does not.
   std::vector<KeyedLogFailure> append_faults;
+  /// False makes appends that get no answer have no effect.
+  bool unanswered_take_effect = true;
+
+  /// While true, reads get no answer; those that wait end at once.
+  void FailReads(bool fail);
 
   /// Entries of a topic in the order of the log.
   const std::vector<KeyedEntry>& Entries(const std::string& topic) {
@@ -46,6 +51,7 @@
   KeyedAppendReply Apply(const KeyedAppend& append, Topic& topic);
 
   Task& task;
+  bool reads_fail = false;
   std::map<std::string, Topic> topics;
 };
 
