Count an answer without news as of the end of its wait

The log answers without a record only when the wait has ended, so the view is that much fresher. A read that goes through a peer waits only for what is left of its wait.

The test fails without it: 1.9 s instead of 1.2 s at most.

--- a/packages/gateway/relayed_log.h
+++ b/packages/gateway/relayed_log.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -124,9 +125,11 @@
   template <typename Reply>
   struct Call {
     std::function<void(Reply)> callback;
-    std::function<rpc::RelayRequest(Instant now)> message;
+    std::function<rpc::RelayRequest(Instant now, std::int64_t wait_left_ms)>
+        message;
     Instant deadline;
-    std::int64_t wait_ms = 0;
+    /// When the wait for news ends, whichever way the call goes.
+    Instant wait_ends;
     bool direct_open = true;
     bool relay_begun = false;
     bool relay_open = false;
@@ -150,9 +153,15 @@
              Direct&& direct) {
     auto call = std::make_shared<Call<Reply>>();
     call->callback = std::move(callback);
-    call->message = [request](Instant now) { return ToRelay(request, now); };
+    call->wait_ends = BootClock{}.Now().After(wait_ms);
+    call->message = [request](Instant now, std::int64_t wait_left_ms) {
+      auto left = request;
+      if constexpr (std::is_same_v<Request, KeyedRead>) {
+        left.wait_ms = wait_left_ms;
+      }
+      return ToRelay(left, now);
+    };
     call->deadline = request.deadline;
-    call->wait_ms = wait_ms;
     direct([this, alive = this->alive, call](const Reply& reply) {
       if (*alive) {
         this->OnDirect(call, reply);
@@ -162,13 +171,12 @@
       this->BeginRelay(call);
       return;
     }
-    this->task.PostAt(
-        BootClock{}.Now().After(wait_ms + this->settings.hedge_ms),
-        [this, alive = this->alive, call] {
-          if (*alive && !call->ended) {
-            this->BeginRelay(call);
-          }
-        });
+    this->task.PostAt(call->wait_ends.After(this->settings.hedge_ms),
+                      [this, alive = this->alive, call] {
+                        if (*alive && !call->ended) {
+                          this->BeginRelay(call);
+                        }
+                      });
   }
 
   template <typename Reply>
@@ -200,10 +208,11 @@
     const Peer& peer = this->peers[call->peers_asked++];
     call->relay_open = true;
     this->relayed_calls.Increment();
-    const Instant until =
-        std::min(call->deadline,
-                 now.After(call->wait_ms + this->settings.peer_answer_ms));
-    this->relay(peer.address, call->message(now), until,
+    const std::int64_t wait_ms =
+        std::max<std::int64_t>(0, call->wait_ends.RemainingMs(now));
+    const Instant until = std::min(
+        call->deadline, now.After(wait_ms + this->settings.peer_answer_ms));
+    this->relay(peer.address, call->message(now, wait_ms), until,
                 [this, alive = this->alive, call, instance = peer.instance](
                     const rpc::RpcReply<rpc::RelayReply>& reply) {
                   if (*alive) {
--- a/packages/gateway/topic_follower.h
+++ b/packages/gateway/topic_follower.h
@@ -151,15 +151,17 @@
     const std::int64_t wait_ms = this->failing ? 0 : this->settings.wait_ms;
     this->log.Read({this->topic, this->next, wait_ms,
                     sent.After(wait_ms + this->settings.answer_ms)},
-                   [this, alive = this->alive, round = this->round,
-                    sent](KeyedReadReply reply) {
+                   [this, alive = this->alive, round = this->round, sent,
+                    wait_ms](KeyedReadReply reply) {
                      if (*alive && round == this->round) {
-                       this->OnTail(reply, sent);
+                       this->OnTail(reply, sent, wait_ms);
                      }
                    });
   }
 
-  void OnTail(const KeyedReadReply& reply, Instant sent) {
+  // The log answers without a record only when the wait has ended, so nothing
+  // had been stored by then.
+  void OnTail(const KeyedReadReply& reply, Instant sent, std::int64_t wait_ms) {
     if (reply.failure == KeyedLogFailure::kExpired) {
       Log(LogLevel::kWarning, "records expired; the state is read anew",
           {{"topic", this->topic}, {"next", std::to_string(this->next)}});
@@ -172,11 +174,12 @@
       return;
     }
     this->NoteSuccess();
-    this->Deliver(reply, sent);
+    this->Deliver(reply, reply.records.empty() ? sent.After(wait_ms) : sent);
     this->ReadTail();
   }
 
-  void Deliver(const KeyedReadReply& reply, Instant sent) {
+  /// Delivers what is new; the answer holds all that was stored before `until`.
+  void Deliver(const KeyedReadReply& reply, Instant until) {
     for (const KeyedRecord& record : reply.records) {
       if (record.offset >= this->next) {
         this->callbacks.on_record(record);
@@ -184,7 +187,7 @@
     }
     this->next = std::max(this->next, reply.next);
     if (this->next >= reply.end) {
-      this->fresh_at = std::max(this->fresh_at, sent);
+      this->fresh_at = std::max(this->fresh_at, until);
     }
   }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <future>
 #include <memory>
 
@@ -238,6 +239,26 @@
         CallerOutcome::kAccepted);
 }
 
+TEST_CASE("a view without news is no older than one wait and a round trip") {
+  // Guards against refusals as cut off, and against keys honoured for too long,
+  // because an answer without news counts as of the time it was asked for.
+  Task task("test");
+  MemoryLog log(task);
+  TopicFollower<MemoryLog> follower(
+      task, log, "t", {},
+      {[](const KeyedRecord&) {}, [](const std::set<std::string>&) {}});
+  task.Run([&] { follower.Start(); });
+  std::int64_t oldest_ms = 0;
+  for (int i = 0; i < 30; ++i) {
+    g_usleep(100'000);
+    task.Run([&] {
+      oldest_ms = std::max(oldest_ms,
+                           BootClock{}.Now().ms - follower.FreshAt().ms);
+    });
+  }
+  CHECK(oldest_ms <= FollowerSettings{}.wait_ms + 200);
+}
+
 TEST_CASE("calls without a known key or queue are told so") {
   Cluster cluster;
   cluster.Add("g1");
