Let reports without news leave the planner asleep

Cause: each agent reports once a second, and each report led to a run of the planner over all workers and tasks, so its cost grew with their product. A report wakes it now only when it changes where work can run or what is stored, and exchanges without news are kept to 200 a second by a longer wait, at most half a lease.

Ruled out: longer ticks (urgent work waits for them after a time has passed).

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -37,6 +37,9 @@
   /// How long a new term waits for agents that have not answered yet before it
   /// chooses new runs: work would crowd on the first that answer.
   std::int64_t settle_ms = 300;
+  /// Exchanges without news that the planner takes a second. One costs about
+  /// 0.1 ms of a core.
+  std::int64_t exchanges_per_s = 200;
   WorkerLinkSettings link;
   workload::JobPlannerSettings planner;
 };
@@ -127,6 +130,10 @@
     this->links[agent] = std::make_unique<WorkerLink>(
         this->task, agent, address, this->epoch, this->settings.link,
         this->ports.exchange, this->LinkCallbacks());
+    const std::int64_t wait_ms = this->ExchangeWaitMs();
+    for (auto& [name, link] : this->links) {
+      link->SetWait(wait_ms);
+    }
   }
   void RemoveAgent(const InstanceId& agent) {
     this->links.erase(agent);
@@ -159,6 +166,17 @@
     return {BootClock{}.Now(), WallClock{}.Now()};
   }
 
+  // Keeps the number of exchanges a second within bounds; two fit into a lease.
+  std::int64_t ExchangeWaitMs() const {
+    constexpr std::int64_t kMsPerSecond = 1'000;
+    const auto agents = static_cast<std::int64_t>(this->links.size());
+    const std::int64_t longest_ms =
+        this->settings.link.lease_ms / 2 - this->settings.link.answer_ms;
+    return std::clamp(agents * kMsPerSecond / this->settings.exchanges_per_s,
+                      std::min(this->settings.link.wait_ms, longest_ms),
+                      longest_ms);
+  }
+
   void Tick() {
     this->Wake();
     this->task.PostAt(BootClock{}.Now().After(this->settings.tick_ms),
@@ -321,7 +339,8 @@
       seen = {};
       seen.life = description.life;
     }
-    this->planner.ObserveWorker(agent, description, lease_ends, time);
+    const bool news =
+        this->planner.ObserveWorker(agent, description, lease_ends, time);
     std::vector<workload::RunningTask> running;
     for (const auto& run : reply.running()) {
       running.push_back({rpc::FromMessage(run.task()), run.run(), run.percent(),
@@ -331,7 +350,11 @@
     for (const auto& ended : reply.ended()) {
       this->OnEnd(agent, ended, time, seen);
     }
-    this->Wake();
+    // A run of the planner looks at every worker and task, and every agent
+    // reports each second, so a report without news leaves it to the next tick.
+    if (news || this->planner.HasChanges()) {
+      this->Wake();
+    }
   }
 
   struct SeenEnds {
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -67,6 +67,9 @@
   void SetOrders(std::vector<workload::TaskOrder> orders,
                  std::uint64_t acknowledged_end);
 
+  /// How long an exchange waits for news, in ms.
+  void SetWait(std::int64_t wait_ms) { this->settings.wait_ms = wait_ms; }
+
   /// Boot clock: the planner may give the agent authority up to then.
   void SetAuthorityLimit(Instant limit) { this->authority_limit = limit; }
 
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -69,7 +69,7 @@
   this->guarantees = std::move(guarantees);
 }
 
-void JobPlanner::ObserveWorker(const InstanceId& agent,
+bool JobPlanner::ObserveWorker(const InstanceId& agent,
                                const WorkerDescription& description,
                                Instant lease_ends,
                                const TransitionTime& time) {
@@ -79,9 +79,11 @@
     worker.failures_in_a_row = 0;
     worker.avoid_until = time.now;
   }
+  const bool news = !worker.reachable || worker.description != description;
   worker.description = description;
   worker.reachable = true;
   worker.lease_ends = lease_ends;
+  return news;
 }
 
 void JobPlanner::ObserveUnreachable(const InstanceId& agent) {
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -89,7 +89,8 @@
   /// @{
   /// What the agents say. `lease_ends` (boot clock) is when nothing that runs
   /// on the worker now can run any more if the agent is not heard again.
-  void ObserveWorker(const InstanceId& agent,
+  /// Returns true when the report may change where work can run.
+  bool ObserveWorker(const InstanceId& agent,
                      const WorkerDescription& description,
                      Instant lease_ends,
                      const TransitionTime& time);
@@ -124,6 +125,9 @@
   /// Number of the commit that the next TakeChanges() names.
   std::uint64_t NextCommit() const { return this->next_commit; }
 
+  /// True when jobs changed since the last TakeChanges().
+  bool HasChanges() const { return !this->changed.empty(); }
+
   /// Ids of the jobs that changed since the last call, for one commit.
   std::set<JobId> TakeChanges();
 
--- a/packages/workload/worker.h
+++ b/packages/workload/worker.h
@@ -32,6 +32,8 @@
   RackId rack;
   std::set<std::string> labels;
   Resources capacity;
+
+  bool operator==(const WorkerDescription&) const = default;
 };
 
 /// A worker as the planner knows it.
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -146,6 +146,28 @@
   CHECK(job.phase == JobPhase::kRunning);
 }
 
+TEST_CASE("a report is news only when it can change a decision") {
+  // Guards against a run of the planner for each of 900 reports a second.
+  World world(1);
+  CHECK_FALSE(world.Answer(0));
+  world.Silence(0);
+  CHECK(world.Answer(0));
+  CHECK(world.Answer(0, /*born_ms=*/2));
+  CHECK_FALSE(world.Answer(0, /*born_ms=*/2));
+  CHECK_FALSE(world.planner.HasChanges());
+  world.planner.Submit(JobOf("j", Step(1, {1'000, 1'000, 1})));
+  world.planner.Plan(world.Time());
+  CHECK(world.planner.HasChanges());
+  world.planner.TakeChanges();
+  const auto held = world.Held();
+  const RunningTask seen{held.begin()->first, 1, 5, {}, 0};
+  world.planner.ObserveRunning(InstanceId(World::Name(0)), {seen}, world.now);
+  CHECK(world.planner.HasChanges());
+  world.planner.TakeChanges();
+  world.planner.ObserveRunning(InstanceId(World::Name(0)), {seen}, world.now);
+  CHECK_FALSE(world.planner.HasChanges());
+}
+
 TEST_CASE("an occurrence does not start before it is due") {
   World world(1);
   auto job = JobOf("j", Step(1, {1'000, 1'000, 1}));
--- a/tests/workload/world.cc
+++ b/tests/workload/world.cc
@@ -42,7 +42,7 @@
   return "w" + std::to_string(worker);
 }
 
-void World::Answer(std::uint32_t worker, std::int64_t born_ms) {
+bool World::Answer(std::uint32_t worker, std::int64_t born_ms) {
   this->born[worker] = born_ms;
   const InstanceId agent(Name(worker));
   WorkerDescription description;
@@ -52,8 +52,8 @@
   description.rack = RackId("r" + std::to_string(worker / kWorkersPerRack));
   description.labels = {"kind", description.rack.value};
   description.capacity = {32'000, 128'000, 8};
-  this->planner.ObserveWorker(agent, description, this->now.After(kLeaseMs),
-                              this->Time());
+  return this->planner.ObserveWorker(agent, description,
+                                     this->now.After(kLeaseMs), this->Time());
 }
 
 void World::Silence(std::uint32_t worker) {
--- a/tests/workload/world.h
+++ b/tests/workload/world.h
@@ -25,8 +25,8 @@
 
   TransitionTime Time() const { return {this->now, this->now}; }
 
-  /// Lets the worker answer, alive under `born_ms`.
-  void Answer(std::uint32_t worker, std::int64_t born_ms = 1);
+  /// Lets the worker answer, alive under `born_ms`; true when that is news.
+  bool Answer(std::uint32_t worker, std::int64_t born_ms = 1);
 
   /// Lets the worker fall silent; its lease ends 6 s later.
   void Silence(std::uint32_t worker);
