--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -252,8 +252,8 @@
   for (int i = 0; i < 30; ++i) {
     g_usleep(100'000);
     task.Run([&] {
-      oldest_ms = std::max(oldest_ms,
-                           BootClock{}.Now().ms - follower.FreshAt().ms);
+      oldest_ms =
+          std::max(oldest_ms, BootClock{}.Now().ms - follower.FreshAt().ms);
     });
   }
   CHECK(oldest_ms <= FollowerSettings{}.wait_ms + 200);
