--- a/packages/gateway/relayed_log.h
+++ b/packages/gateway/relayed_log.h
@@ -155,11 +155,13 @@
     call->callback = std::move(callback);
     call->wait_ends = BootClock{}.Now().After(wait_ms);
     call->message = [request](Instant now, std::int64_t wait_left_ms) {
-      auto left = request;
       if constexpr (std::is_same_v<Request, KeyedRead>) {
+        KeyedRead left = request;
         left.wait_ms = wait_left_ms;
+        return ToRelay(left, now);
+      } else {
+        return ToRelay(request, now);
       }
-      return ToRelay(left, now);
     };
     call->deadline = request.deadline;
     direct([this, alive = this->alive, call](const Reply& reply) {
--- a/tests/workload/advice_test.cc
+++ b/tests/workload/advice_test.cc
@@ -16,7 +16,7 @@
 
 /// Answers the first wanted question: only workers named `allowed` are granted.
 AdviceRequest Answer(World& world, const std::string& allowed) {
-  const AdviceRequest request = world.planner.WantedAdvice().front();
+  AdviceRequest request = world.planner.WantedAdvice().front();
   world.planner.ObserveAdvice(request, {{WorkerId(allowed), "t-" + allowed}},
                               world.now.After(request.policy.valid_ms));
   return request;
