--- a/packages/ledger/log_session.h
+++ b/packages/ledger/log_session.h
@@ -23,35 +23,13 @@
 #include "packages/ledger/proposal.h"
 #include "packages/ledger/recovery.h"
 #include "packages/ledger/replica.h"
+#include "packages/ledger/session_hooks.h"
 #include "packages/ledger/session_settings.h"
 #include "packages/ledger/snapshot_assembler.h"
 #include "packages/ledger/snapshot_writer.h"
 
 namespace carobrill::ledger {
 
-/// Receives the answer of a peer; nothing when the peer did not answer.
-using PeerCallback = std::function<void(std::optional<PeerState>)>;
-
-/// What a LogSession tells its owner and asks of it. Empty functions are
-/// skipped. All run on the session's task.
-struct SessionHooks {
-  /// A record was folded, malformed and repeated ones included.
-  std::function<void(const FoldedRecord&)> on_folded;
-  /// The state was replaced as a whole, by a snapshot or by a peer's state.
-  std::function<void()> on_state_replaced;
-  /// The recovery state changed.
-  std::function<void(RecoveryState)> on_recovery_state;
-  /// This replica's hash differs from a snapshot's.
-  std::function<void(const Divergence&)> on_divergence;
-  /// An older state had to be taken over, because the log had already gone on
-  /// from it under a new lineage.
-  std::function<void()> on_state_regressed;
-  /// Whether this entry plans and so writes snapshots when they are due.
-  std::function<bool()> writes_snapshots;
-  /// Asks a peer for its state; the callback may run at any later time.
-  std::function<void(const PeerQuery&, PeerCallback)> fetch_from_peer;
-};
-
 /// Follows the log with a replica of `Fold` and appends proposals to it. All
 /// calls and callbacks are on one task; `Store` and `Scheduler` must call back
 /// later, never inside the call.
@@ -507,373 +485,40 @@
 
   // ---- Writing snapshots.
 
-  bool SnapshotDueByTime() const {
-    constexpr std::int64_t kSnapshotsPerRetention = 4;
-    return this->LogTimeNow() >=
-           this->last_snapshot_time.After(this->settings.retention_ms /
-                                          kSnapshotsPerRetention);
-  }
-
-  // Snapshots that are due by the number of records wait for a checkpoint, at
-  // which every replica knows its hash and can compare it.
-  void WriteSnapshotWhenDue() {
-    const bool changed =
-        this->recovery.State() == RecoveryState::kLineageChanged;
-    const bool planned =
-        this->hooks.writes_snapshots && this->hooks.writes_snapshots();
-    // The last snapshot is given time to be read back before it is repeated.
-    if (this->snapshot_writer.Busy() ||
-        this->Now() < this->snapshot_hold_until || !this->SnapshotDue() ||
-        !(planned || (changed && this->refused_older_start))) {
-      return;
-    }
-    const bool at_checkpoint =
-        this->AppliedOffset() % this->CheckpointInterval() == 0;
-    if (changed || at_checkpoint || this->SnapshotDueByTime()) {
-      this->WriteSnapshot();
-    }
-  }
-
-  void PumpSnapshotWriter() {
-    if (auto chunk = this->snapshot_writer.NextChunk(this->Now())) {
-      this->store.Append(this->settings.snapshot_stream, {std::move(*chunk)},
-                         this->Now().After(this->settings.call_timeout_ms),
-                         this->Guarded([this](const AppendReply& reply) {
-                           this->snapshot_writer.OnAnswered(
-                               this->NoteContact(reply.failure), this->Now());
-                           this->Pump();
-                         }));
-    }
-    this->WakeAt(this->snapshot_writer.NextDeadline());
-  }
+  bool SnapshotDueByTime() const;
+  void WriteSnapshotWhenDue();
+  void PumpSnapshotWriter();
 
   // ---- The snapshot stream.
 
-  void RestartSnapshotStream() {
-    this->snapshot_offset = 0;
-    this->assembler.Clear();
-    this->candidates.clear();
-    this->foreign_candidate.reset();
-  }
-
-  void PumpSnapshots() {
-    if (!this->snapshot_poll.Due(this->Now())) {
-      this->WakeAt(this->snapshot_poll.NextDeadline());
-      return;
-    }
-    this->Read(this->snapshot_poll,
-               {this->settings.snapshot_stream, this->snapshot_offset,
-                this->settings.max_read_chunks, 0},
-               [this](const ReadReply& reply) { this->OnChunks(reply); });
-  }
-
-  void OnChunks(const ReadReply& reply) {
-    if (!this->NoteContact(reply.failure)) {
-      this->Delay(this->snapshot_poll);
-      if (this->recovery.State() == RecoveryState::kLoadingSnapshot) {
-        this->Raise(RecoveryEvent::kStoreUnavailable);
-      }
-      return;
-    }
-    if (!reply.lineage.empty() && reply.lineage != this->snapshot_lineage) {
-      this->snapshot_lineage = reply.lineage;
-      this->RestartSnapshotStream();
-    } else if (reply.failure == StoreFailure::kExpired) {
-      this->snapshot_offset = reply.oldest_offset;
-    } else {
-      this->AddChunks(reply);
-    }
-  }
-
-  void AddChunks(const ReadReply& reply) {
-    const RecoveryState before = this->recovery.State();
-    for (const auto& stored : reply.records) {
-      this->snapshot_offset = stored.offset + 1;
-      if (const auto snapshot = this->assembler.Add(stored)) {
-        this->OnSnapshot(*snapshot);
-      }
-    }
-    if (this->recovery.State() != before) {
-      return;
-    }
-    if (this->snapshot_offset < reply.next_offset) {
-      this->snapshot_poll.Succeeded(this->Now());
-    } else if (before == RecoveryState::kLoadingSnapshot) {
-      this->OnSnapshotsRead();
-    } else {
-      const bool changed = before == RecoveryState::kLineageChanged;
-      this->snapshot_poll.Succeeded(
-          this->Now().After(changed ? this->settings.lineage_poll_ms
-                                    : this->settings.snapshot_poll_ms));
-    }
-  }
-
-  void OnSnapshot(const records::Snapshot& snapshot) {
-    switch (this->recovery.State()) {
-      case RecoveryState::kLoadingSnapshot:
-        this->AddCandidate(snapshot);
-        return;
-      case RecoveryState::kLineageChanged:
-        this->NoteSnapshot(snapshot);
-        this->StartLineageFrom(snapshot);
-        return;
-      default:
-        this->NoteSnapshot(snapshot);
-        this->CompareWith(snapshot);
-        return;
-    }
-  }
-
-  void NoteSnapshot(const records::Snapshot& snapshot) {
-    if (snapshot.lineage() == this->log_lineage &&
-        snapshot.covered_offset() >= this->last_snapshot_offset) {
-      this->last_snapshot_offset = snapshot.covered_offset();
-      this->last_snapshot_time = Instant{snapshot.log_time_ms()};
-    }
-  }
-
-  void Compare(const std::optional<Divergence>& divergence) {
-    if (divergence.has_value() && this->hooks.on_divergence) {
-      this->hooks.on_divergence(*divergence);
-    }
-  }
-
-  void CompareWith(const records::Snapshot& snapshot) {
-    if (snapshot.lineage() != this->Lineage()) {
-      return;
-    }
-    if (this->ReplacesStart(snapshot)) {
-      this->LoadSnapshot(snapshot);
-      return;
-    }
-    const Offset covered = snapshot.covered_offset();
-    if (covered == this->AppliedOffset()) {
-      this->Compare(this->checkpoints.AddOwn(covered, this->replica.Hash()));
-    }
-    this->Compare(
-        this->checkpoints.AddSnapshot(covered, snapshot.state_hash()));
-  }
-
-  // Two entries may have started a lineage; as long as no record of it has been
-  // folded, the newer state wins.
-  bool ReplacesStart(const records::Snapshot& snapshot) const {
-    return this->lineage_start == this->AppliedOffset() &&
-           snapshot.covered_offset() == this->AppliedOffset() &&
-           snapshot.log_time_ms() > this->replica.LogTime().ms;
-  }
-
-  // Keeps the newest snapshots, so that there is another one when the newest
-  // turns out to be corrupt.
-  void AddCandidate(const records::Snapshot& snapshot) {
-    constexpr std::size_t kMaxCandidates = 2;
-    if (snapshot.lineage() != this->snapshot_lineage) {
-      this->foreign_candidate = snapshot;
-      return;
-    }
-    const auto place = std::find_if(
-        this->candidates.begin(), this->candidates.end(),
-        [&](const records::Snapshot& other) {
-          return other.covered_offset() < snapshot.covered_offset();
-        });
-    this->candidates.insert(place, snapshot);
-    if (this->candidates.size() > kMaxCandidates) {
-      this->candidates.pop_back();
-    }
-  }
-
-  void OnSnapshotsRead() {
-    this->log_lineage = this->snapshot_lineage;
-    if (!this->Lineage().empty() && this->Lineage() != this->log_lineage) {
-      this->BeginLineageChange(std::nullopt);
-      return;
-    }
-    for (const auto& candidate : std::exchange(this->candidates, {})) {
-      if (Recovery::MayLoad(this->Position(), this->log_lineage, candidate) &&
-          this->LoadSnapshot(candidate)) {
-        this->NoteSnapshot(candidate);
-        this->Raise(RecoveryEvent::kSnapshotLoaded);
-        return;
-      }
-    }
-    if (this->foreign_candidate.has_value() && this->Lineage().empty()) {
-      this->OnRestoredLog();
-      return;
-    }
-    this->ProbeReplay();
-  }
-
-  // The log was restored under another lineage before any entry with a state
-  // could write the start of it. Such an entry is waited for; after a while
-  // its content is all there is.
-  void OnRestoredLog() {
-    const bool waited = this->Now() >= this->started_at.After(
-                                           this->settings.restored_log_wait_ms);
-    records::Snapshot snapshot = *std::exchange(this->foreign_candidate, {});
-    snapshot.set_lineage(this->log_lineage);
-    if (waited && this->LoadSnapshot(snapshot)) {
-      this->Raise(RecoveryEvent::kSnapshotLoaded);
-    } else {
-      this->Raise(RecoveryEvent::kNothingUsable);
-    }
-  }
-
-  // No snapshot helps: the records themselves may still reach back far enough.
-  void ProbeReplay() {
-    this->Read(this->snapshot_poll,
-               {this->settings.record_stream, this->AppliedOffset(), 1, 0},
-               [this](const ReadReply& reply) {
-                 if (!this->NoteContact(reply.failure)) {
-                   this->Raise(RecoveryEvent::kStoreUnavailable);
-                 } else if (reply.failure == StoreFailure::kNone &&
-                            reply.lineage == this->log_lineage &&
-                            !this->MayBeRestarted()) {
-                   this->Raise(RecoveryEvent::kReplayFromStart);
-                 } else {
-                   this->Raise(RecoveryEvent::kNothingUsable);
-                 }
-               });
-  }
-
-  // A log without snapshots may be new, or may have restarted without its
-  // content while other entries hold the state, which they write or append to
-  // in a moment: a process without state first asks a peer.
-  bool MayBeRestarted() const {
-    return this->Lineage().empty() &&
-           this->Now() <
-               this->started_at.After(this->settings.lineage_settle_ms);
-  }
-
-  ReplicaPosition Position() const {
-    return {this->Lineage(), this->AppliedOffset(), this->replica.LogTime()};
-  }
-
-  bool LoadSnapshot(const records::Snapshot& snapshot) {
-    if (!this->replica.Load(snapshot)) {
-      return false;
-    }
-    this->backlog.Reset(this->Lineage(), this->AppliedOffset());
-    this->checkpoints.Clear();
-    this->log_clock.Observe(this->replica.LogTime(), this->Now());
-    this->ResolveAfterStateReplaced();
-    if (this->hooks.on_state_replaced) {
-      this->hooks.on_state_replaced();
-    }
-    return true;
-  }
+  void RestartSnapshotStream();
+  void PumpSnapshots();
+  void OnChunks(const ReadReply& reply);
+  void AddChunks(const ReadReply& reply);
+  void OnSnapshot(const records::Snapshot& snapshot);
+  void NoteSnapshot(const records::Snapshot& snapshot);
+  void Compare(const std::optional<Divergence>& divergence);
+  void CompareWith(const records::Snapshot& snapshot);
+  bool ReplacesStart(const records::Snapshot& snapshot) const;
+  void AddCandidate(const records::Snapshot& snapshot);
+  void OnSnapshotsRead();
+  void OnRestoredLog();
+  void ProbeReplay();
+  bool MayBeRestarted() const;
+  ReplicaPosition Position() const;
+  bool LoadSnapshot(const records::Snapshot& snapshot);
 
   // ---- Another lineage.
 
-  void BeginLineageChange(std::optional<Offset> end_of_records) {
-    this->lineage_end = end_of_records;
-    this->probe_offset = 0;
-    this->refused_older_start = false;
-    this->last_snapshot_offset = 0;
-    this->snapshot_hold_until = Instant{};
-    this->snapshot_writer.Stop();
-    this->Raise(RecoveryEvent::kLineageChanged);
-  }
-
-  // Reads the end of the record stream, which a start of the lineage covers.
-  void PumpProbe() {
-    if (!this->record_poll.Due(this->Now())) {
-      this->WakeAt(this->record_poll.NextDeadline());
-      return;
-    }
-    this->Read(this->record_poll,
-               {this->settings.record_stream, this->probe_offset, 1, 0},
-               [this](const ReadReply& reply) { this->OnProbe(reply); });
-  }
-
-  void OnProbe(const ReadReply& reply) {
-    if (!this->NoteContact(reply.failure)) {
-      this->Delay(this->record_poll);
-      return;
-    }
-    if (this->SameLineage(reply.lineage)) {
-      // The log is back under the lineage of the state.
-      this->Raise(RecoveryEvent::kLineageStarted);
-      return;
-    }
-    if (reply.failure == StoreFailure::kExpired) {
-      this->probe_offset = reply.oldest_offset;
-    } else {
-      this->lineage_end = reply.next_offset;
-    }
-    this->record_poll.Succeeded(
-        this->Now().After(this->settings.lineage_poll_ms));
-  }
-
-  void StartLineageFrom(const records::Snapshot& snapshot) {
-    if (snapshot.lineage() != this->log_lineage) {
-      return;
-    }
-    const bool newer =
-        Recovery::MayLoad(this->Position(), this->log_lineage, snapshot);
-    const bool log_went_on = this->lineage_end.has_value() &&
-                             *this->lineage_end > snapshot.covered_offset();
-    if (!newer && !log_went_on) {
-      this->refused_older_start = true;
-      return;
-    }
-    if (!this->LoadSnapshot(snapshot)) {
-      return;
-    }
-    this->snapshot_writer.Stop();
-    this->lineage_start = snapshot.covered_offset();
-    this->propose_not_before =
-        this->Now().After(this->settings.lineage_settle_ms);
-    if (!newer && this->hooks.on_state_regressed) {
-      this->hooks.on_state_regressed();
-    }
-    this->Raise(RecoveryEvent::kLineageStarted);
-  }
+  void BeginLineageChange(std::optional<Offset> end_of_records);
+  void PumpProbe();
+  void OnProbe(const ReadReply& reply);
+  void StartLineageFrom(const records::Snapshot& snapshot);
 
   // ---- Peers.
 
-  void PumpPeer() {
-    if (!this->peer_poll.Due(this->Now())) {
-      if (this->Now() >= this->peer_deadline) {
-        this->Raise(RecoveryEvent::kPeerUnavailable);
-      }
-      this->WakeAt(this->peer_deadline);
-      return;
-    }
-    this->peer_deadline = this->Now().After(this->settings.call_timeout_ms);
-    const std::uint64_t number = this->peer_poll.Open();
-    if (!this->hooks.fetch_from_peer) {
-      this->peer_poll.Close(number);
-      this->Raise(RecoveryEvent::kPeerUnavailable);
-      return;
-    }
-    this->hooks.fetch_from_peer(
-        {this->Lineage(), this->AppliedOffset()},
-        this->Guarded([this, number](const std::optional<PeerState>& answer) {
-          if (this->peer_poll.Close(number)) {
-            const bool loaded = answer.has_value() && this->LoadPeer(*answer);
-            this->Raise(loaded ? RecoveryEvent::kPeerStateLoaded
-                               : RecoveryEvent::kPeerUnavailable);
-            this->Pump();
-          }
-        }));
-    this->WakeAt(this->peer_deadline);
-  }
-
-  bool LoadPeer(const PeerState& answer) {
-    if (answer.IsFull()) {
-      records::Snapshot snapshot;
-      return snapshot.ParseFromString(answer.snapshot) &&
-             Recovery::MayLoadFromPeer(this->Position(), this->log_lineage,
-                                       snapshot) &&
-             this->LoadSnapshot(snapshot);
-    }
-    if (this->Lineage().empty() || answer.lineage != this->Lineage()) {
-      return false;
-    }
-    const Offset before = this->AppliedOffset();
-    this->FoldAll(answer.records);
-    // A peer that is no further helps only while the log cannot be asked.
-    return this->AppliedOffset() > before || this->outage;
-  }
+  void PumpPeer();
+  bool LoadPeer(const PeerState& answer);
 
   // Nothing helped: the search starts again after a delay.
   void PumpWaiting() {
@@ -934,4 +579,8 @@
 
 }  // namespace carobrill::ledger
 
+// The definitions of the longer parts.
+#include "packages/ledger/log_session_lineage.h"
+#include "packages/ledger/log_session_snapshots.h"
+
 #endif  // PACKAGES_LEDGER_LOG_SESSION_H_
--- a/packages/requests/request_types.h
+++ b/packages/requests/request_types.h
@@ -28,6 +28,14 @@
       {{Ran::kNo, "no"}, {Ran::kYes, "yes"}, {Ran::kUnknown, "unknown"}});
 }
 
+/// What two attempts together say: one that certainly ran settles it.
+constexpr Ran Combine(Ran a, Ran b) {
+  if (a == Ran::kYes || b == Ran::kYes) {
+    return Ran::kYes;
+  }
+  return a == Ran::kUnknown ? a : b;
+}
+
 /// Why a request has no answer of the endpoint.
 enum class RequestError {
   kNone,
--- a/packages/requests/work_table.h
+++ b/packages/requests/work_table.h
@@ -12,6 +12,7 @@
 #include "packages/core/serving_endpoint.h"
 #include "packages/core/time.h"
 #include "packages/requests/request_types.h"
+#include "packages/requests/timer_queue.h"
 
 namespace carobrill::requests {
 
@@ -40,6 +41,11 @@
   bool verified_not_run = false;
 };
 
+/// The timer of the call's deadline.
+inline Timer DeadlineOf(const Caller& caller) {
+  return Timer{caller.deadline, TimerKind::kCallDeadline, caller.call};
+}
+
 /// A request on its way; calls that repeat its key join it.
 struct Work {
   WorkId id = 0;
--- a/packages/scheduling/board.h
+++ b/packages/scheduling/board.h
@@ -87,6 +87,19 @@
 /// Number of cells of each level; the last entry counts whole racks.
 using LevelCounts = std::array<std::uint32_t, kLevels + 1>;
 
+namespace detail {
+
+/// Adds `part` to `sum`, `sign` times; a sign of -1 wraps round and subtracts.
+inline void AddCounts(LevelCounts& sum,
+                      const LevelCounts& part,
+                      std::uint32_t sign) {
+  for (std::size_t level = 0; level < sum.size(); ++level) {
+    sum[level] += part[level] * sign;
+  }
+}
+
+}  // namespace detail
+
 /// Size of one member of a gang.
 struct MemberSize {
   std::uint32_t accelerators = 0;
