Add a benchmark of the planner that the platform runs

Cause: carobrill_bench cost measures packages/scheduling; nothing measured the planner of packages/workload, which decides on the users' platform.

--- a/packages/scheduling/main_carobrill_bench.cc
+++ b/packages/scheduling/main_carobrill_bench.cc
@@ -6,8 +6,10 @@
 
 #include "packages/scheduling/bench/cost.h"
 #include "packages/scheduling/bench/report.h"
+#include "packages/workload/bench/planner_cost.h"
 
-// Usage: carobrill_bench policies|cost [--charts DIR] [--seeds N] [--json FILE]
+// Usage: carobrill_bench policies|cost|planner [--charts DIR] [--seeds N]
+//        [--json FILE]
 
 namespace carobrill::scheduling::bench {
 namespace {
@@ -66,18 +68,25 @@
   return options;
 }
 
+nlohmann::json RunCommand(const Options& options, const Charts& charts) {
+  if (options.command == "planner") {
+    return workload::bench::MeasurePlannerCost();
+  }
+  return options.command == "cost" ? MeasureCost(charts)
+                                   : ComparePolicies(charts, options.seeds);
+}
+
 int Main(const Options& options) {
   const auto charts = Charts::Load(options.charts);
   if (!charts.has_value() || options.seeds == 0 ||
-      (options.command != "policies" && options.command != "cost")) {
+      (options.command != "policies" && options.command != "cost" &&
+       options.command != "planner")) {
     std::fprintf(stderr,
-                 "usage: carobrill_bench policies|cost [--charts DIR] "
+                 "usage: carobrill_bench policies|cost|planner [--charts DIR] "
                  "[--seeds N] [--json FILE]\n");
     return 2;
   }
-  const nlohmann::json json = options.command == "cost"
-                                  ? MeasureCost(*charts)
-                                  : ComparePolicies(*charts, options.seeds);
+  const nlohmann::json json = RunCommand(options, *charts);
   if (!options.json.empty()) {
     std::ofstream(options.json) << json.dump(2) << "\n";
   }
