Send agents only orders that changed, and space planning passes

Cause: every pass and every commit built the orders of all agents and compared them with those of all links, and a pass ran for every batch of events. Change: the session takes the orders by difference and acknowledges run ends of the agents that reported some; a pass begins at the earliest 5 ms, or three times the duration of the last one, after the last one.

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +36,11 @@
   std::int64_t max_store_outage_ms = 15'000;
   /// Maximum interval between planning passes.
   std::int64_t tick_ms = 200;
+  /// Minimum time between the end of a planning pass and the next one. Events
+  /// in between share one pass.
+  std::int64_t min_pass_interval_ms = 5;
+  /// The same as a multiple of the time that the pass took.
+  std::int64_t pass_pause_factor = 3;
   /// How long a new term waits for agents that have not answered yet before it
   /// assigns new runs. Otherwise all work would be placed on the agents that
   /// answer first.
@@ -131,6 +138,7 @@
     this->planner.RegisterWorker(agent, this->previous_leases_end);
     this->links[agent] = std::make_unique<WorkerLink>(
         this->task, agent, address, this->epoch, this->settings.link,
+    this->planner.MarkOrdersChanged(agent);
         this->ports.exchange, this->LinkCallbacks());
     const std::int64_t wait_ms = this->ExchangeWaitMs();
     for (auto& [name, link] : this->links) {
@@ -196,7 +204,7 @@
     if (std::exchange(this->pass_scheduled, true)) {
       return;
     }
-    this->task.Post([this, alive = this->alive] {
+    this->task.PostAt(this->next_pass_at, [this, alive = this->alive] {
       if (*alive) {
         this->pass_scheduled = false;
         this->RunPass();
@@ -207,10 +215,21 @@
   void RunPass() {
     if (this->ended) {
       return;
+  // On a slow machine, passes are spaced so that exchanges and calls of clients
+  // get most of the processor time.
     }
     if (!this->resigned && this->AgentsAnswered()) {
       this->planner.Plan(this->Time());
       this->advice.SendNext(this->planner.PendingAdviceRequests());
+    const Instant began = BootClock{}.Now();
+    this->RunPassNow();
+    const Instant ended_at = BootClock{}.Now();
+    this->next_pass_at = ended_at.After(
+        std::max(this->settings.min_pass_interval_ms,
+                 this->settings.pass_pause_factor * (ended_at.ms - began.ms)));
+  }
+
+  void RunPassNow() {
     }
     this->planner_log.Write(this->planner.TakeEvents(), this->epoch);
     this->Flush();
@@ -297,12 +316,31 @@
     if (this->ended) {
       return;
     }
-    auto orders = this->planner.Orders(this->committed);
     const Instant limit =
         this->stored_at.After(this->settings.max_store_outage_ms);
     for (auto& [agent, link] : this->links) {
+    for (auto& [agent, orders] :
+         this->planner.TakeChangedOrders(this->committed)) {
+      const auto link = this->links.find(agent);
+      if (link != this->links.end()) {
+        link->second->SetOrders(std::move(orders),
+                                this->AcknowledgedEnd(agent));
+      }
+    }
+    this->AcknowledgeEnds();
+  }
+
+  /// Acknowledges the run ends that have been stored.
+  void AcknowledgeEnds() {
+    std::erase_if(this->unacknowledged, [this](const InstanceId& agent) {
+      const std::uint64_t acknowledged = this->AcknowledgedEnd(agent);
+      const auto link = this->links.find(agent);
+      if (link != this->links.end()) {
+        link->second->SetAcknowledgedEnd(acknowledged);
+      }
+      return this->run_ends[agent].pending.empty();
+    });
       link->SetLeaseLimit(limit);
-      link->SetOrders(std::move(orders[agent]), this->AcknowledgedEnd(agent));
     }
   }
 
@@ -314,7 +352,7 @@
            progress.pending.front().second <= this->committed) {
       progress.acknowledged =
           std::max(progress.acknowledged, progress.pending.front().first);
-      progress.pending.erase(progress.pending.begin());
+      progress.pending.pop_front();
     }
     return progress.acknowledged;
   }
@@ -326,6 +364,11 @@
             },
             [this](const InstanceId& agent) {
               this->planner.MarkWorkerUnreachable(agent);
+            [this](const InstanceId& agent) {
+              this->planner.MarkOrdersChanged(agent);
+              this->unacknowledged.insert(agent);
+              this->SchedulePass();
+            },
               this->SchedulePass();
             },
             [this](std::uint64_t other) {
@@ -370,7 +413,7 @@
     std::uint64_t highest = 0;
     std::uint64_t acknowledged = 0;
     /// Run end numbers and the commits that store them, in order.
-    std::vector<std::pair<std::uint64_t, std::uint64_t>> pending;
+    std::deque<std::pair<std::uint64_t, std::uint64_t>> pending;
   };
 
   void OnEnd(const InstanceId& agent,
@@ -388,6 +431,7 @@
         {rpc::FromProto(ended.task()), ended.run(), end, ended.checkpoint()},
         time);
     if (ended.number() != 0) {
+      this->unacknowledged.insert(agent);
       progress.highest = ended.number();
       progress.pending.emplace_back(ended.number(), this->planner.NextCommit());
     }
@@ -404,6 +448,8 @@
   CommitPipeline<LogStore> commits;
   AdviceCaller advice;
   std::map<InstanceId, std::unique_ptr<WorkerLink>> links;
+  /// Agents whose latest run ends have not been acknowledged.
+  std::set<InstanceId> unacknowledged;
   std::map<InstanceId, RunEndProgress> run_ends;
   std::uint64_t committed = 0;
   std::uint64_t heartbeat = 0;
@@ -413,6 +459,8 @@
   Instant began_at;
   bool agents_answered = false;
   Instant next_heartbeat_at;
+  /// Boot clock.
+  Instant next_pass_at;
   bool pass_scheduled = false;
   bool ended = false;
   std::function<void()> resigned;
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -72,6 +72,16 @@
   }
 }
 
+void WorkerLink::SetAcknowledgedEnd(std::uint64_t acknowledged_end) {
+  if (acknowledged_end == this->acknowledged_end) {
+    return;
+  }
+  this->acknowledged_end = acknowledged_end;
+  if (this->connected) {
+    this->Send(this->settings.wait_ms);
+  }
+}
+
 // The permission to renew leases ends at a time on the agent's own clock, so
 // that a delayed message does not extend it.
 void WorkerLink::GrantLease(rpc::ExchangeRequest& request, Instant now) {
@@ -181,6 +191,7 @@
     this->worker = reply.worker();
     this->acknowledged_end = 0;
     this->orders.clear();
+    this->callbacks.on_orders_dropped(this->agent);
   }
   this->callbacks.on_report(this->agent, reply, this->lease_expires_at);
 }
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -45,6 +45,9 @@
                      Instant lease_expires_at)>
       on_report;
   std::function<void(const InstanceId&)> on_unreachable;
+  /// Called when the link has dropped its orders because the agent reports
+  /// another incarnation of its worker.
+  std::function<void(const InstanceId&)> on_orders_dropped;
   /// Called when the agent follows a planner with a higher epoch.
   std::function<void(std::uint64_t epoch)> on_superseded;
 };
@@ -74,6 +77,9 @@
   void SetOrders(std::vector<workload::TaskOrder> orders,
                  std::uint64_t acknowledged_end);
 
+  /// Replaces only the acknowledged end.
+  void SetAcknowledgedEnd(std::uint64_t acknowledged_end);
+
   /// Sets how long an exchange waits for changes, in ms.
   void SetWaitMs(std::int64_t wait_ms) { this->settings.wait_ms = wait_ms; }
 
