--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -59,9 +59,15 @@
   std::function<Instant()> view_fresh_at;
   /// True while all reads of the log fail.
   std::function<bool()> log_failing;
-  /// Runs the callback with true once the view contains everything stored
-  /// before the call, or with false if the log does not answer.
+  /// True if the view may lack progress that was stored some time ago.
+  std::function<bool()> progress_behind;
+  /// @{
+  /// Runs the callback with true once the view contains all jobs, or all
+  /// progress, stored before the call, or with false if the log does not
+  /// answer.
   std::function<void(std::function<void(bool)>)> barrier;
+  std::function<void(std::function<void(bool)>)> progress_barrier;
+  /// @}
 };
 
 /// Serves client calls: answers queries from the job view, and stores
@@ -260,7 +266,7 @@
       return;
     }
     if (const workload::Job* job = this->FindVisible(*call)) {
-      this->AnswerState(*call, *job);
+      this->AnswerNewestState(call, *job);
       return;
     }
     this->sources.barrier([this, alive = this->alive, call](bool complete) {
@@ -277,6 +283,26 @@
     });
   }
 
+  // The view is behind the log while the gateway gathers records, and a client
+  // waits for the end of its job. A final state does not change any more. If
+  // the log does not answer, the view is recent enough (max_view_age_ms).
+  void AnswerNewestState(const CallRef& call, const workload::Job& job) {
+    if (workload::IsFinal(job.phase) || !this->sources.progress_behind()) {
+      this->AnswerState(*call, job);
+      return;
+    }
+    this->sources.progress_barrier([this, alive = this->alive, call](bool) {
+      if (!*alive) {
+        return;
+      }
+      if (const workload::Job* known = this->FindVisible(*call)) {
+        this->AnswerState(*call, *known);
+      } else {
+        this->Answer(*call, MakeAnswer(CallerOutcome::kUnknownJob), "removed");
+      }
+    });
+  }
+
   void AnswerState(Call& call, const workload::Job& job) {
     CallerAnswer answer = MakeAnswer(CallerOutcome::kJobState);
     answer.state = std::string(NameOf(job.phase));
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -96,7 +96,7 @@
         progress(task,
                  log,
                  kProgressTopic,
-                 this->settings.follower,
+                 this->ProgressFollowerSettings(),
                  {[this](const KeyedRecord& record) {
                     this->OnProgressRecord(record);
                   },
@@ -192,6 +192,21 @@
   CallerSources MakeSources() {
     return {
         [this] { return this->CurrentConfiguration(); },
+  // A progress record holds the complete progress of its job.
+  FollowerSettings ProgressFollowerSettings() const {
+    FollowerSettings result = this->settings.follower;
+    result.newest_only = true;
+    return result;
+  }
+
+  // Only the planner needs every change at once. Other gateways read on demand
+  // when a client asks for a job.
+  void SetGatherMs(std::int64_t gather_ms) {
+    this->intake.SetGatherMs(gather_ms);
+    this->progress.SetGatherMs(gather_ms);
+    this->agents.SetGatherMs(gather_ms);
+  }
+
         [this] { return this->operator_topic.FreshAt(); },
         [this] {
           return std::min(this->intake.FreshAt(), this->progress.FreshAt());
@@ -200,8 +215,12 @@
         [this](std::function<void(bool)> done) {
           this->intake.Barrier(std::move(done));
         }};
+        [this] { return this->progress.Gathering(); },
   }
 
+        },
+        [this](std::function<void(bool)> done) {
+          this->progress.Barrier(std::move(done));
   void OnIntakeRecord(const KeyedRecord& record) {
     const IntakeChange change = this->view.ApplyIntake(record.entry);
     if (this->session == nullptr || change == IntakeChange::kNone) {
@@ -471,3 +490,5 @@
 }  // namespace carobrill::gateway
 
 #endif  // PACKAGES_GATEWAY_GATEWAY_CORE_H_
+    this->SetGatherMs(0);
+    this->SetGatherMs(this->settings.follower.gather_ms);
--- a/packages/gateway/topic_follower.h
+++ b/packages/gateway/topic_follower.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +26,12 @@
   /// slowest supported stores answer after about 350 ms.
   std::int64_t answer_timeout_ms = 900;
   std::int64_t retry_delay_ms = 100;
+  /// Pause after a read that returned records, so that one read returns the
+  /// records of several appends. Otherwise the number of reads is that of the
+  /// appends times that of the gateways.
+  std::int64_t gather_ms = 0;
+  /// Deliver only the newest record of each key in one read.
+  bool newest_only = false;
 };
 
 /// Callbacks of a follower. All run on the owner's task.
@@ -60,18 +67,32 @@
   /// Starts or restarts from a new snapshot.
   void Start() {
     ++this->generation;
+    this->gathering = false;
     this->loaded = false;
     this->tail_from = 0;
     this->keys.clear();
     this->ReadPage("");
   }
 
+  /// Sets the pause after a read that returned records, and ends a pause in
+  /// progress.
+  void SetGatherMs(std::int64_t gather_ms) {
+    this->settings.gather_ms = gather_ms;
+    if (std::exchange(this->gathering, false)) {
+      this->ReadTail();
+    }
+  }
+
   /// True once a complete snapshot has been delivered.
   bool Loaded() const { return this->loaded; }
 
   /// Boot clock. The view contains everything stored before this time.
   Instant FreshAt() const { return this->fresh_at; }
 
+  /// True during the pause after a read that returned records. The view then
+  /// lacks records that were stored since.
+  bool Gathering() const { return this->gathering; }
+
   /// Offset after the newest delivered record.
   Offset Next() const { return this->next; }
 
@@ -179,14 +200,36 @@
     }
     this->RecordSuccess();
     this->Deliver(reply, reply.records.empty() ? sent.After(wait_ms) : sent);
-    this->ReadTail();
+    if (reply.records.empty() || this->settings.gather_ms == 0 ||
+        this->next < reply.end) {
+      this->ReadTail();
+      return;
+    }
+    this->gathering = true;
+    this->task.PostAt(BootClock{}.Now().After(this->settings.gather_ms),
+                      [alive = this->alive, generation = this->generation, this,
+                       pause = ++this->pauses] {
+                        if (*alive && generation == this->generation &&
+                            pause == this->pauses &&
+                            std::exchange(this->gathering, false)) {
+                          this->ReadTail();
+                        }
+                      });
   }
 
   /// Delivers the new records. The reply contains everything stored before
   /// `until`.
   void Deliver(const KeyedReadReply& reply, Instant until) {
+    std::map<std::string, Offset> newest;
+    if (this->settings.newest_only) {
+      for (const KeyedRecord& record : reply.records) {
+        newest[record.entry.key] = record.offset;
+      }
+    }
     for (const KeyedRecord& record : reply.records) {
-      if (record.offset >= this->next) {
+      const bool superseded = this->settings.newest_only &&
+                              newest[record.entry.key] != record.offset;
+      if (record.offset >= this->next && !superseded) {
         this->callbacks.on_record(record);
       }
     }
@@ -233,6 +276,8 @@
   std::uint64_t generation = 0;
   bool loaded = false;
   bool failing = false;
+  bool gathering = false;
+  std::uint64_t pauses = 0;
   Offset next = 0;
   Offset tail_from = 0;
   Instant fresh_at;
