Elect the planner by the processor share of its machine

Cause: the claim was spread by a hash of the instance id. Change: instance.processor_share (settings, from the deploy template) is written with the claim; an instance with less than half of the last planner's share claims 700 ms later; one with at least twice the share of the planner asks it by a record to hand over, once a term, after 2 s; the planner resigns with that successor, which claims at once, others 600 ms later. Ruled out: a claim by the stronger instance against a planner that appends all the time, which would mostly fail on the expected end. Tests: delays of unequal instances, one request a term, none between similar or unknown ones, the successor first, a hand-over between two gateways that does not flap, requests to earlier planners and malformed ones ignored.

--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -258,6 +258,25 @@
     member = *parsed;
   }
 
+  void Assign(const SettingDescription& setting,
+              const Json& value,
+              double& member) {
+    const std::string key(setting.name);
+    if (!value.is_number()) {
+      this->Report(Kind::kWrongType, key, "must be a number");
+      return;
+    }
+    const double number = value.get<double>();
+    if (!(number >= static_cast<double>(setting.min) &&
+          number <= static_cast<double>(setting.max))) {
+      this->Report(
+          Kind::kOutOfRange, key,
+          "must be " + RangeOf(setting) + " " + std::string(setting.unit));
+      return;
+    }
+    member = number;
+  }
+
   template <typename T>
   requires std::is_integral_v<T>
   void Assign(const SettingDescription& setting, const Json& value, T& member) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -40,6 +40,8 @@
   /// Listen address for HTTP: the API for clients and operators (entry), or
   /// metrics (agent).
   ListenAddress http;
+  /// Processor time that the instance may use, in cores; 0 when unknown.
+  double processor_share = 0;
   /// Maximum duration of a graceful shutdown, after which remaining work is
   /// terminated.
   std::int64_t shutdown_limit_ms = 60'000;
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -9,6 +9,7 @@
 constexpr std::int64_t kHourMs = 60 * kMinuteMs;
 constexpr std::int64_t kDayMs = 24 * kHourMs;
 constexpr std::int64_t kMaxPort = 65'535;
+constexpr std::int64_t kMaxProcessorShare = 1'024;
 
 template <typename T>
 std::string JoinNames() {
@@ -76,6 +77,11 @@
       {"instance.http.port",
        [](S& s) -> SettingTarget { return &s.instance.http.port; },
        "Port for callers and operators; 0 picks a free one.", "", 0, kMaxPort},
+      {"instance.processor_share",
+       [](S& s) -> SettingTarget { return &s.instance.processor_share; },
+       "Processor time that the instance may use. Of the gateways, those with "
+       "a large share plan.",
+       "cores", 0, kMaxProcessorShare},
       {"instance.shutdown_limit_ms",
        [](S& s) -> SettingTarget { return &s.instance.shutdown_limit_ms; },
        "Longest graceful shutdown; what still runs then is ended.", "ms", 100,
@@ -319,6 +325,8 @@
           return "choice";
         } else if constexpr (std::is_integral_v<T>) {
           return "integer";
+        } else if constexpr (std::is_floating_point_v<T>) {
+          return "number";
         } else {
           return "list of text";
         }
@@ -346,6 +354,8 @@
           return std::string(NameOf(*member));
         } else if constexpr (std::is_integral_v<T>) {
           return std::to_string(*member);
+        } else if constexpr (std::is_floating_point_v<T>) {
+          return *member == 0 ? "unknown" : std::to_string(*member);
         } else {
           return "none";
         }
@@ -362,7 +372,7 @@
           return "true, false";
         } else if constexpr (std::is_enum_v<T>) {
           return JoinNames<T>();
-        } else if constexpr (std::is_integral_v<T>) {
+        } else if constexpr (std::is_arithmetic_v<T>) {
           return std::to_string(setting.min) + " to " +
                  std::to_string(setting.max);
         } else {
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -41,6 +41,8 @@
 /// Gateway settings; times in ms.
 struct GatewaySettings {
   InstanceId instance;
+  /// Processor share of the instance in thousandths of a core; 0 when unknown.
+  std::uint32_t processor_millis = 0;
   /// Address at which other gateways reach this one ("ip:port"). Empty if they
   /// cannot.
   std::string relay_address;
@@ -82,7 +84,8 @@
                                        "1 while this instance plans.")),
         lease(this->settings.lease,
               RankOf(this->settings.instance),
-              this->settings.instance),
+              this->settings.instance,
+              this->settings.processor_millis),
         intake(task,
                log,
                kIntakeTopic,
@@ -165,7 +168,7 @@
   void BeginShutdown(std::function<void()> drained) {
     this->draining = true;
     if (this->session != nullptr) {
-      this->session->Resign([] {});
+      this->session->Resign({});
     }
     this->task.PostAt(BootClock{}.Now().After(this->settings.drain_ms),
                       std::move(drained));
@@ -189,9 +192,6 @@
                                       kRanks);
   }
 
-  CallerSources MakeSources() {
-    return {
-        [this] { return this->CurrentConfiguration(); },
   // A progress record holds the complete progress of its job.
   FollowerSettings ProgressFollowerSettings() const {
     FollowerSettings result = this->settings.follower;
@@ -207,21 +207,28 @@
     this->agents.SetGatherMs(gather_ms);
   }
 
+  CallerSources MakeSources() {
+    return {
+        [this] { return this->CurrentConfiguration(); },
         [this] { return this->operator_topic.FreshAt(); },
         [this] {
           return std::min(this->intake.FreshAt(), this->progress.FreshAt());
         },
         [this] { return this->intake.Failing() && this->progress.Failing(); },
+        [this] { return this->progress.Gathering(); },
         [this](std::function<void(bool)> done) {
           this->intake.Barrier(std::move(done));
-        }};
-        [this] { return this->progress.Gathering(); },
-  }
-
         },
         [this](std::function<void(bool)> done) {
           this->progress.Barrier(std::move(done));
+        }};
+  }
+
   void OnIntakeRecord(const KeyedRecord& record) {
+    if (record.entry.key == kHandoverKey) {
+      this->OnHandoverRequest(record);
+      return;
+    }
     const IntakeChange change = this->view.ApplyIntake(record.entry);
     if (this->session == nullptr || change == IntakeChange::kNone) {
       return;
@@ -240,6 +247,24 @@
     }
   }
 
+  // A request that names another epoch was meant for an earlier planner.
+  void OnHandoverRequest(const KeyedRecord& record) {
+    const auto request = DecodeHandover(record.entry.value);
+    if (!request.has_value()) {
+      Log(LogLevel::kWarning, "cannot decode hand-over request",
+          {{"offset", std::to_string(record.offset)}});
+      return;
+    }
+    if (this->session == nullptr || request->epoch != this->session->Epoch() ||
+        request->instance == this->settings.instance) {
+      return;
+    }
+    Log(LogLevel::kInfo, "planner_hands_over",
+        {{"epoch", std::to_string(request->epoch)},
+         {"successor", request->instance.value}});
+    this->session->Resign(request->instance);
+  }
+
   void OnProgressRecord(const KeyedRecord& record) {
     if (record.entry.key != kPlannerKey) {
       this->view.ApplyProgress(record.entry);
@@ -261,6 +286,14 @@
     if (this->session != nullptr) {
       this->session->ObserveClaim(*claim);
     }
+    if (claim->resigned) {
+      // Posted, because a claim names the end of the topic after this record.
+      this->task.Post([this, alive = this->alive] {
+        if (*alive) {
+          this->ClaimIfDue(BootClock{}.Now());
+        }
+      });
+    }
   }
 
   void OnAddressRecord(const KeyedRecord& record) {
@@ -316,20 +349,43 @@
       this->lease.RestartSilence(now);
     }
     this->ticked_at = now;
+    this->ClaimIfDue(now);
+    this->task.PostAt(now.After(this->settings.tick_ms),
+                      [this, alive = this->alive] {
+                        if (*alive) {
+                          this->Tick();
+                        }
+                      });
+  }
+
+  void ClaimIfDue(Instant now) {
     const bool can_claim = this->session == nullptr && !this->claiming &&
                            !this->draining && this->progress.Loaded() &&
                            this->intake.Loaded() && this->agents.Loaded() &&
                            this->configuration.has_value();
-    if (can_claim && this->lease.ShouldClaim(now)) {
+    if (!can_claim) {
+      return;
+    }
+    if (this->lease.ShouldClaim(now)) {
       this->Claim(
           std::max(this->lease.NextEpoch(), this->last_tried_epoch + 1));
+    } else if (this->lease.ShouldRequestHandover(now)) {
+      this->RequestHandover(this->lease.Newest().epoch);
     }
-    this->task.PostAt(now.After(this->settings.tick_ms),
-                      [this, alive = this->alive] {
-                        if (*alive) {
-                          this->Tick();
-                        }
-                      });
+  }
+
+  void RequestHandover(std::uint64_t epoch) {
+    KeyedAppend append;
+    append.topic = kIntakeTopic;
+    append.entries = {
+        {kHandoverKey, EncodeHandover({this->settings.instance, epoch})}};
+    append.deadline =
+        BootClock{}.Now().After(this->settings.follower.answer_timeout_ms);
+    this->log.Append(append, [epoch](const KeyedAppendReply& reply) {
+      Log(LogLevel::kInfo, "hand_over_requested",
+          {{"epoch", std::to_string(epoch)},
+           {"outcome", std::string(NameOf(reply.failure))}});
+    });
   }
 
   // The log answers a repeated sequence number with the first answer, so claims
@@ -356,7 +412,12 @@
     KeyedAppend append;
     append.topic = kProgressTopic;
     append.entries = {
-        {kPlannerKey, EncodeClaim({this->settings.instance, epoch, 0, false})}};
+        {kPlannerKey, EncodeClaim({this->settings.instance,
+                                   epoch,
+                                   0,
+                                   false,
+                                   this->settings.processor_millis,
+                                   {}})}};
     append.expected_end = this->progress.Next();
     append.writer = this->IdentityOf(epoch);
     append.deadline = now.After(this->settings.follower.answer_timeout_ms);
@@ -411,7 +472,8 @@
       return;
     }
     this->session = std::make_unique<PlannerSession<LogStore>>(
-        this->task, this->log, this->settings.instance, this->IdentityOf(epoch),
+        this->task, this->log, this->settings.instance,
+        this->settings.processor_millis, this->IdentityOf(epoch),
         this->settings.session, this->ports.planner, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
@@ -428,6 +490,7 @@
     for (const auto& [agent, address] : this->agent_addresses) {
       this->session->SetAgent(agent, address);
     }
+    this->SetGatherMs(0);
     this->planner_gauge.Set(1);
     Log(LogLevel::kInfo, "planner_term_begins",
         {{"epoch", std::to_string(epoch)},
@@ -442,6 +505,7 @@
          {"reason", reason}});
     this->session.reset();
     this->planner_gauge.Set(0);
+    this->SetGatherMs(this->settings.follower.gather_ms);
     this->lease.RestartSilence(BootClock{}.Now());
   }
 
@@ -490,5 +554,3 @@
 }  // namespace carobrill::gateway
 
 #endif  // PACKAGES_GATEWAY_GATEWAY_CORE_H_
-    this->SetGatherMs(0);
-    this->SetGatherMs(this->settings.follower.gather_ms);
--- a/packages/gateway/planner_lease.cc
+++ b/packages/gateway/planner_lease.cc
@@ -7,13 +7,20 @@
 
 PlannerLease::PlannerLease(PlannerLeaseSettings settings,
                            std::uint32_t rank,
-                           InstanceId own)
-    : settings(settings), rank(rank), own(std::move(own)) {}
+                           InstanceId own,
+                           std::uint32_t processor_millis)
+    : settings(settings),
+      rank(rank),
+      own(std::move(own)),
+      processor_millis(processor_millis) {}
 
 void PlannerLease::Observe(const PlannerClaim& claim, Instant now) {
   if (this->has_claim && claim.epoch < this->newest.epoch) {
     return;
   }
+  if (!this->has_claim || claim.epoch != this->newest.epoch) {
+    this->epoch_began_at = now;
+  }
   this->newest = claim;
   this->has_claim = true;
   this->last_heard_at = std::max(this->last_heard_at, now);
@@ -30,10 +37,34 @@
   if (abandoned) {
     return true;
   }
-  const std::int64_t claim_delay_ms = this->rank * this->settings.rank_delay_ms;
-  const bool vacant = !this->has_claim || this->newest.resigned;
-  return now >= this->last_heard_at.After(
-                    claim_delay_ms + (vacant ? 0 : this->settings.takeover_ms));
+  if (this->newest.resigned && this->newest.successor == this->own) {
+    return true;
+  }
+  std::int64_t delay_ms = this->rank * this->settings.rank_delay_ms;
+  if (!this->has_claim || !this->newest.resigned) {
+    delay_ms += this->has_claim ? this->settings.takeover_ms : 0;
+  } else if (!this->newest.successor.empty()) {
+    delay_ms += this->settings.successor_delay_ms;
+  }
+  if (IsMuchStronger(this->newest.processor_millis, this->processor_millis)) {
+    delay_ms += this->settings.weak_instance_delay_ms;
+  }
+  return now >= this->last_heard_at.After(delay_ms);
+}
+
+bool PlannerLease::ShouldRequestHandover(Instant now) {
+  const bool due =
+      this->has_claim && !this->newest.resigned &&
+      this->newest.instance != this->own &&
+      this->newest.epoch > this->requested_epoch &&
+      IsMuchStronger(this->processor_millis, this->newest.processor_millis) &&
+      now >=
+          this->epoch_began_at.After(this->settings.handover_after_ms +
+                                     this->rank * this->settings.rank_delay_ms);
+  if (due) {
+    this->requested_epoch = this->newest.epoch;
+  }
+  return due;
 }
 
 }  // namespace carobrill::gateway
--- a/packages/gateway/planner_records.cc
+++ b/packages/gateway/planner_records.cc
@@ -12,6 +12,8 @@
   record.set_epoch(claim.epoch);
   record.set_beat(claim.heartbeat);
   record.set_resigned(claim.resigned);
+  record.set_processor_millis(claim.processor_millis);
+  record.set_successor(claim.successor.value);
   return record.SerializeAsString();
 }
 
@@ -20,8 +22,28 @@
   if (!record.ParseFromString(bytes) || record.epoch() == 0) {
     return std::nullopt;
   }
-  return PlannerClaim{InstanceId(record.instance()), record.epoch(),
-                      record.beat(), record.resigned()};
+  return PlannerClaim{InstanceId(record.instance()),
+                      record.epoch(),
+                      record.beat(),
+                      record.resigned(),
+                      record.processor_millis(),
+                      InstanceId(record.successor())};
+}
+
+std::string EncodeHandover(const HandoverRequest& request) {
+  records::HandoverRecord record;
+  record.set_instance(request.instance.value);
+  record.set_epoch(request.epoch);
+  return record.SerializeAsString();
+}
+
+std::optional<HandoverRequest> DecodeHandover(const std::string& bytes) {
+  records::HandoverRecord record;
+  if (!record.ParseFromString(bytes) || record.epoch() == 0 ||
+      record.instance().empty()) {
+    return std::nullopt;
+  }
+  return HandoverRequest{InstanceId(record.instance()), record.epoch()};
 }
 
 std::string EncodeAddress(const ProcessAddress& address) {
--- a/packages/gateway/planner_records.h
+++ b/packages/gateway/planner_records.h
@@ -15,6 +15,13 @@
 std::optional<PlannerClaim> DecodeClaim(const std::string& bytes);
 /// @}
 
+/// @{
+/// Stored form of a request to hand over the planner role. Decoding returns
+/// nothing if the bytes are invalid.
+std::string EncodeHandover(const HandoverRequest& request);
+std::optional<HandoverRequest> DecodeHandover(const std::string& bytes);
+/// @}
+
 /// Address of a worker agent or gateway.
 struct ProcessAddress {
   /// Address of its gRPC service ("ip:port").
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -69,6 +69,7 @@
   PlannerSession(Task& task,
                  LogStore& log,
                  InstanceId instance,
+                 std::uint32_t processor_millis,
                  WriterIdentity claim,
                  PlannerSessionSettings settings,
                  PlannerPorts ports,
@@ -76,6 +77,7 @@
                  std::function<void(std::string reason)> on_ended)
       : task(task),
         instance(std::move(instance)),
+        processor_millis(processor_millis),
         epoch(claim.epoch),
         settings(settings),
         ports(std::move(ports)),
@@ -136,9 +138,9 @@
       return;
     }
     this->planner.RegisterWorker(agent, this->previous_leases_end);
+    this->planner.MarkOrdersChanged(agent);
     this->links[agent] = std::make_unique<WorkerLink>(
         this->task, agent, address, this->epoch, this->settings.link,
-    this->planner.MarkOrdersChanged(agent);
         this->ports.exchange, this->LinkCallbacks());
     const std::int64_t wait_ms = this->ExchangeWaitMs();
     for (auto& [name, link] : this->links) {
@@ -166,9 +168,10 @@
   }
 
   /// Stores a resignation in the log, so that another instance takes over
-  /// immediately. `done` runs once the term has ended.
-  void Resign(std::function<void()> done) {
-    this->resigned = std::move(done);
+  /// immediately, first `successor` unless it is empty.
+  void Resign(const InstanceId& successor) {
+    this->resigned = true;
+    this->successor = successor;
     this->SchedulePass();
   }
 
@@ -212,15 +215,12 @@
     });
   }
 
+  // On a slow machine, passes are spaced so that exchanges and calls of clients
+  // get most of the processor time.
   void RunPass() {
     if (this->ended) {
       return;
-  // On a slow machine, passes are spaced so that exchanges and calls of clients
-  // get most of the processor time.
     }
-    if (!this->resigned && this->AgentsAnswered()) {
-      this->planner.Plan(this->Time());
-      this->advice.SendNext(this->planner.PendingAdviceRequests());
     const Instant began = BootClock{}.Now();
     this->RunPassNow();
     const Instant ended_at = BootClock{}.Now();
@@ -230,6 +230,9 @@
   }
 
   void RunPassNow() {
+    if (!this->resigned && this->AgentsAnswered()) {
+      this->planner.Plan(this->Time());
+      this->advice.SendNext(this->planner.PendingAdviceRequests());
     }
     this->planner_log.Write(this->planner.TakeEvents(), this->epoch);
     this->Flush();
@@ -266,11 +269,12 @@
       entries.push_back({JobKey(id), {}});
       this->on_expired(id);
     }
-    const bool resigning = static_cast<bool>(this->resigned);
+    const bool resigning = this->resigned;
     if (now >= this->next_heartbeat_at || resigning) {
       entries.push_back(
-          {kPlannerKey, EncodeClaim({this->instance, this->epoch,
-                                     ++this->heartbeat, resigning})});
+          {kPlannerKey,
+           EncodeClaim({this->instance, this->epoch, ++this->heartbeat,
+                        resigning, this->processor_millis, this->successor})});
       this->next_heartbeat_at = now.After(this->settings.heartbeat_interval_ms);
     }
     if (entries.empty()) {
@@ -303,13 +307,7 @@
       return;
     }
     this->links.clear();
-    this->task.Post([on_ended = this->on_ended, reason,
-                     resigned = std::exchange(this->resigned, {})] {
-      on_ended(reason);
-      if (resigned) {
-        resigned();
-      }
-    });
+    this->task.Post([on_ended = this->on_ended, reason] { on_ended(reason); });
   }
 
   void SendOrders() {
@@ -319,6 +317,8 @@
     const Instant limit =
         this->stored_at.After(this->settings.max_store_outage_ms);
     for (auto& [agent, link] : this->links) {
+      link->SetLeaseLimit(limit);
+    }
     for (auto& [agent, orders] :
          this->planner.TakeChangedOrders(this->committed)) {
       const auto link = this->links.find(agent);
@@ -340,8 +340,6 @@
       }
       return this->run_ends[agent].pending.empty();
     });
-      link->SetLeaseLimit(limit);
-    }
   }
 
   /// Returns the highest run end of the agent's worker up to which all ends are
@@ -364,12 +362,12 @@
             },
             [this](const InstanceId& agent) {
               this->planner.MarkWorkerUnreachable(agent);
+              this->SchedulePass();
+            },
             [this](const InstanceId& agent) {
               this->planner.MarkOrdersChanged(agent);
               this->unacknowledged.insert(agent);
               this->SchedulePass();
-            },
-              this->SchedulePass();
             },
             [this](std::uint64_t other) {
               this->task.Post([this, alive = this->alive, other] {
@@ -431,14 +429,15 @@
         {rpc::FromProto(ended.task()), ended.run(), end, ended.checkpoint()},
         time);
     if (ended.number() != 0) {
-      this->unacknowledged.insert(agent);
       progress.highest = ended.number();
       progress.pending.emplace_back(ended.number(), this->planner.NextCommit());
+      this->unacknowledged.insert(agent);
     }
   }
 
   Task& task;
   InstanceId instance;
+  std::uint32_t processor_millis;
   std::uint64_t epoch;
   PlannerSessionSettings settings;
   PlannerPorts ports;
@@ -448,9 +447,9 @@
   CommitPipeline<LogStore> commits;
   AdviceCaller advice;
   std::map<InstanceId, std::unique_ptr<WorkerLink>> links;
+  std::map<InstanceId, RunEndProgress> run_ends;
   /// Agents whose latest run ends have not been acknowledged.
   std::set<InstanceId> unacknowledged;
-  std::map<InstanceId, RunEndProgress> run_ends;
   std::uint64_t committed = 0;
   std::uint64_t heartbeat = 0;
   /// Boot clock. Send time of the last append that was stored.
@@ -459,11 +458,12 @@
   Instant began_at;
   bool agents_answered = false;
   Instant next_heartbeat_at;
+  bool pass_scheduled = false;
   /// Boot clock.
   Instant next_pass_at;
-  bool pass_scheduled = false;
   bool ended = false;
-  std::function<void()> resigned;
+  bool resigned = false;
+  InstanceId successor;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
  public:
--- a/packages/gateway/topics.h
+++ b/packages/gateway/topics.h
@@ -9,7 +9,8 @@
 
 namespace carobrill::gateway {
 
-/// Topic of accepted jobs and cancellations, written by gateways.
+/// Topic of accepted jobs, cancellations and requests to the planner, written
+/// by gateways.
 inline constexpr const char* kIntakeTopic = "keyed.intake";
 
 /// Topic of job progress, written only by the planner.
@@ -22,6 +23,10 @@
 /// Key of the planner's claim in the progress topic.
 inline constexpr const char* kPlannerKey = "planner";
 
+/// Key of the newest request to hand over the planner role, in the intake
+/// topic.
+inline constexpr const char* kHandoverKey = "handover";
+
 inline constexpr std::string_view kGatewayPrefix = "gateway/";
 inline constexpr std::string_view kJobPrefix = "job/";
 inline constexpr std::string_view kCancelPrefix = "cancel/";
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -37,10 +37,11 @@
 
   using Core = GatewayCore<MemoryLog>;
 
-  std::size_t Add(const std::string& name) {
+  std::size_t Add(const std::string& name, std::uint32_t processor_millis = 0) {
     this->task.Run([&] {
       GatewaySettings settings;
       settings.instance = InstanceId(name);
+      settings.processor_millis = processor_millis;
       this->gateways.push_back(std::make_unique<Core>(
           this->task, this->log, settings,
           ConfigurationSource{"op", "config",
@@ -73,6 +74,13 @@
     return count;
   }
 
+  bool IsPlanner(std::size_t index) {
+    bool planner = false;
+    this->task.Run(
+        [&] { planner = this->gateways[index]->Planner() != nullptr; });
+    return planner;
+  }
+
   bool WaitFor(const std::function<bool()>& condition) {
     const Instant end = BootClock{}.Now().After(kWaitLimitMs);
     while (BootClock{}.Now() < end) {
@@ -278,10 +286,10 @@
 TEST_CASE("a restarted planner reclaims its own role immediately") {
   // Guards against waiting for a planner that is known to have exited.
   PlannerLease lease({1'500, 250}, 3, InstanceId("own"));
-  lease.Observe({InstanceId("own"), 4, 9, false}, Instant{1'000});
+  lease.Observe({InstanceId("own"), 4, 9, false, 0, {}}, Instant{1'000});
   CHECK(lease.ShouldClaim(Instant{1'000}));
   lease.ObserveOwnClaim(5);
-  lease.Observe({InstanceId("own"), 5, 0, false}, Instant{1'100});
+  lease.Observe({InstanceId("own"), 5, 0, false, 0, {}}, Instant{1'100});
   CHECK_FALSE(lease.ShouldClaim(Instant{1'200}));
 }
 
@@ -290,16 +298,98 @@
   lease.RestartSilence(Instant{1'000});
   CHECK_FALSE(lease.ShouldClaim(Instant{1'200}));
   CHECK(lease.ShouldClaim(Instant{1'250}));
-  lease.Observe({InstanceId("g"), 4, 1, false}, Instant{2'000});
+  lease.Observe({InstanceId("g"), 4, 1, false, 0, {}}, Instant{2'000});
   CHECK_FALSE(lease.ShouldClaim(Instant{3'700}));
   CHECK(lease.ShouldClaim(Instant{3'750}));
   // While the log cannot be read, missing heartbeats are ignored.
   lease.RestartSilence(Instant{3'740});
   CHECK_FALSE(lease.ShouldClaim(Instant{3'800}));
-  lease.Observe({InstanceId("g"), 4, 2, true}, Instant{4'000});
+  lease.Observe({InstanceId("g"), 4, 2, true, 0, {}}, Instant{4'000});
   CHECK(lease.ShouldClaim(Instant{4'250}));
   CHECK(lease.NextEpoch() == 5);
 }
 
+TEST_CASE("an instance much weaker than the last planner claims later") {
+  // Guards against a planner on a machine that is too slow for a planning pass
+  // while a stronger one could plan.
+  constexpr std::uint32_t kHighestRank = 3;
+  PlannerLease strong({}, kHighestRank, InstanceId("strong"), 500);
+  PlannerLease weak({}, 0, InstanceId("weak"), 120);
+  for (const bool resigned : {false, true}) {
+    CAPTURE(resigned);
+    const PlannerClaim claim{InstanceId("g"), 4, 1, resigned, 500, {}};
+    strong.Observe(claim, Instant{1'000});
+    weak.Observe(claim, Instant{1'000});
+    std::int64_t strong_at = 1'000;
+    while (!strong.ShouldClaim(Instant{strong_at})) {
+      ++strong_at;
+    }
+    CHECK_FALSE(weak.ShouldClaim(Instant{strong_at + 200}));
+    CHECK(weak.ShouldClaim(Instant{strong_at + 1'000}));
+  }
+}
+
+TEST_CASE("only a much stronger instance asks for a hand-over, once a term") {
+  // Guards against a role that moves back and forth between similar instances.
+  PlannerLease strong({}, 0, InstanceId("strong"), 500);
+  PlannerLease similar({}, 0, InstanceId("similar"), 200);
+  PlannerLease unknown({}, 0, InstanceId("unknown"));
+  const PlannerClaim claim{InstanceId("weak"), 4, 1, false, 120, {}};
+  for (PlannerLease* lease : {&strong, &similar, &unknown}) {
+    lease->Observe(claim, Instant{1'000});
+  }
+  CHECK_FALSE(strong.ShouldRequestHandover(Instant{2'999}));
+  CHECK(strong.ShouldRequestHandover(Instant{3'000}));
+  CHECK_FALSE(strong.ShouldRequestHandover(Instant{9'000}));
+  CHECK_FALSE(similar.ShouldRequestHandover(Instant{9'000}));
+  CHECK_FALSE(unknown.ShouldRequestHandover(Instant{9'000}));
+  strong.Observe({InstanceId("weak"), 5, 1, false, 120, {}}, Instant{9'000});
+  CHECK(strong.ShouldRequestHandover(Instant{11'000}));
+  strong.Observe({InstanceId("old"), 6, 1, false, 0, {}}, Instant{12'000});
+  CHECK_FALSE(strong.ShouldRequestHandover(Instant{20'000}));
+}
+
+TEST_CASE("the successor of a resignation claims first") {
+  PlannerLease successor({}, 3, InstanceId("successor"), 500);
+  PlannerLease other({}, 0, InstanceId("other"), 500);
+  const PlannerClaim claim{InstanceId("weak"),     4, 1, true, 120,
+                           InstanceId("successor")};
+  successor.Observe(claim, Instant{1'000});
+  other.Observe(claim, Instant{1'000});
+  CHECK(successor.ShouldClaim(Instant{1'000}));
+  CHECK_FALSE(other.ShouldClaim(Instant{1'599}));
+  CHECK(other.ShouldClaim(Instant{1'600}));
+}
+
+TEST_CASE("a weak planner hands over to a stronger gateway") {
+  Cluster cluster;
+  cluster.Add("weak", 120);
+  REQUIRE(cluster.WaitFor([&] { return cluster.IsPlanner(0); }));
+  cluster.Add("strong", 500);
+  CHECK(cluster.WaitFor([&] { return cluster.IsPlanner(1); }));
+  CHECK(cluster.CountPlanners() == 1);
+  // The role stays with the stronger instance.
+  g_usleep(3'000'000);
+  CHECK(cluster.IsPlanner(1));
+  CHECK(cluster.CountPlanners() == 1);
+}
+
+TEST_CASE("a request to an earlier planner does not end a term") {
+  // Guards against requests that a new planner reads from a snapshot.
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor([&] { return cluster.CountPlanners() == 1; }));
+  for (const std::string& value :
+       {EncodeHandover({InstanceId("g2"), 99}), std::string("\xff")}) {
+    cluster.task.Run([&] {
+      cluster.log.Append(
+          {kIntakeTopic, {{kHandoverKey, value}}, {}, {}, Instant::Never()},
+          [](const KeyedAppendReply&) {});
+    });
+  }
+  g_usleep(500'000);
+  CHECK(cluster.CountPlanners() == 1);
+}
+
 }  // namespace
 }  // namespace carobrill::gateway
