Do not count a task on a silent worker as stalled

Change: the agent tells the age of the list; a task stalls only by a list that was read after its limit. Test: a task on a silent worker does not count as stalled; fails without the check. The test of stalled gangs now reports a new list without progress, as the agent of such a worker does; it checks as much as before.

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -395,7 +395,9 @@
       running.push_back({rpc::FromProto(run.task()), run.run(), run.percent(),
                          run.checkpoint(), run.usage()});
     }
-    this->planner.UpdateRunning(agent, running, time.now);
+    this->planner.UpdateRunning(
+        agent, running,
+        time.now.After(-std::max<std::int64_t>(0, reply.running_age_ms())));
     for (const auto& ended : reply.ended()) {
       this->OnEnd(agent, ended, time, progress);
     }
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -201,6 +201,7 @@
     reply.set_cpu_millis(description.capacity.cpu_millis);
     reply.set_memory_mb(description.capacity.memory_mb);
     reply.set_accelerators(description.capacity.accelerators);
+    reply.set_running_age_ms(BootClock{}.Now().ms - this->lists_read_at.ms);
     for (const ListedRun& run : this->runs.Running()) {
       auto* message = reply.add_running();
       *message->mutable_task() = rpc::ToProto(run.task);
@@ -427,7 +428,8 @@
     }
     this->UpdateWorkerClock(reply.worker_clock_ms);
     const bool first = !std::exchange(this->lists_read, true);
-    this->runs.OnLists(reply, sent, BootClock{}.Now());
+    this->lists_read_at = BootClock{}.Now();
+    this->runs.OnLists(reply, sent, this->lists_read_at);
     this->listed_end = 0;
     for (const ListedRunEnd& end : reply.ended) {
       this->listed_end = std::max(this->listed_end, end.number);
@@ -500,6 +502,8 @@
   std::uint64_t sequence = 0;
   /// The worker's lists have been read in this incarnation.
   bool lists_read = false;
+  /// Boot clock: when the worker last returned its lists.
+  Instant lists_read_at;
   /// The worker's process is known to have exited.
   bool exited = false;
   std::uint32_t refusals = 0;
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -105,7 +105,12 @@
 
 void JobPlanner::UpdateRunning(const InstanceId& agent,
                                const std::vector<RunningTask>& running,
-                               Instant now) {
+                               Instant read_at) {
+  const auto worker = this->workers.find(agent);
+  if (worker != this->workers.end()) {
+    worker->second.running_read_at =
+        std::max(worker->second.running_read_at, read_at);
+  }
   for (const RunningTask& seen : running) {
     const auto job = this->jobs.find(seen.task.job);
     TaskState* task =
@@ -116,7 +121,7 @@
     }
     if (task->phase == TaskPhase::kStarting) {
       task->phase = TaskPhase::kRunning;
-      task->progress_at = now;
+      task->progress_at = read_at;
       if (job->second.phase == JobPhase::kQueued) {
         job->second.phase = JobPhase::kRunning;
       }
@@ -124,7 +129,7 @@
     }
     if (seen.percent != task->percent) {
       task->percent = seen.percent;
-      task->progress_at = now;
+      task->progress_at = read_at;
     }
     task->usage = seen.usage;
     if (seen.checkpoint != task->checkpoint) {
@@ -267,6 +272,11 @@
         next = std::min(next, stalls_at);
         continue;
       }
+      // A worker that is silent may be working on.
+      if (worker->second.running_read_at < stalls_at) {
+        next = now;
+        continue;
+      }
       worker->second.avoid_until = now.After(this->settings.avoid_duration_ms);
       stalled.push_back(run);
     }
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -110,8 +110,9 @@
   /// Registers a worker that has not yet responded to this planner.
   void RegisterWorker(const InstanceId& agent, Instant lease_expires_at);
   void UpdateRunning(const InstanceId& agent,
+  /// `read_at` (boot clock) is when the agent read the list from its worker.
                      const std::vector<RunningTask>& running,
-                     Instant now);
+                     Instant read_at);
   void ApplyRunReport(const InstanceId& agent,
                       const RunReport& report,
                       const TransitionTime& time);
--- a/packages/workload/worker.h
+++ b/packages/workload/worker.h
@@ -46,6 +46,9 @@
   /// Boot clock: expiry of the worker's lease. No task that it runs now
   /// outlives this, unless the agent responds again and the lease is renewed.
   Instant lease_expires_at;
+  /// Boot clock: when the agent last read the list of running tasks from the
+  /// worker. Without a newer list nothing is known about their progress.
+  Instant running_read_at;
   /// Failed runs here since the last successful one; counts only the first
   /// failure of each task or gang.
   std::uint32_t consecutive_failures = 0;
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -209,6 +209,11 @@
     fixture.now.ms += 5'000;
     fixture.ReportWorker(0);
     fixture.ReportWorker(1);
+    // The workers' newest lists show no progress.
+    for (const auto& [key, task] : fixture.ActiveTasks()) {
+      fixture.planner.UpdateRunning(
+          task.worker.agent, {{key, task.run, percent, {}, 0}}, fixture.now);
+    }
     fixture.planner.Plan(fixture.Time());
     for (const auto& [key, task] : fixture.ActiveTasks()) {
       CHECK((task.phase == TaskPhase::kStopping) == (percent < 100));
@@ -216,6 +221,28 @@
   }
 }
 
+TEST_CASE("a task on a silent worker does not count as stalled") {
+  // Guards against stopping running work because the worker does not answer
+  // its agent for a while.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  fixture.Plan();
+  const TaskKey key = FirstStepTask("j", 0);
+  const InstanceId agent(PlannerFixture::WorkerName(0));
+  const Instant read_at = fixture.now;
+  fixture.planner.UpdateRunning(agent, {{key, 1, 40, {}, 0}}, read_at);
+  // The agent answers, but repeats the list that it has read before.
+  fixture.now.ms += 5'000;
+  fixture.ReportWorker(0);
+  fixture.planner.UpdateRunning(agent, {{key, 1, 40, {}, 0}}, read_at);
+  fixture.planner.Plan(fixture.Time());
+  CHECK(fixture.ActiveTasks().at(key).phase == TaskPhase::kRunning);
+  // The worker answers again: the task has worked on.
+  fixture.planner.UpdateRunning(agent, {{key, 1, 90, {}, 0}}, fixture.now);
+  fixture.planner.Plan(fixture.Time());
+  CHECK(fixture.ActiveTasks().at(key).phase == TaskPhase::kRunning);
+}
+
 TEST_CASE("a new planner does not treat loaded runs as stalled") {
   // Guards against stopping all running tasks at each failover of the planner.
   PlannerFixture fixture(1);
