Hold headroom for urgent jobs that keep arriving

Change: UrgentHeadroom follows the recent peak of the share that priority 0 uses or waits for; whole racks with that share, at most half of a service, take no other jobs while at least 60 % of the service is in use. Long-running tasks are exempt. The load that it answers: urgent jobs that keep arriving beside more other work than fits.

--- a/packages/workload/capacity_map.cc
+++ b/packages/workload/capacity_map.cc
@@ -1,5 +1,7 @@
 #include "packages/workload/capacity_map.h"
 
+#include "packages/core/hash.h"
+
 namespace carobrill::workload {
 
 // Workers and runs are both ordered by agent, so one walk over both replaces a
@@ -27,6 +29,10 @@
       entry.runs = &runs_here->second;
     }
     this->entries.push_back(entry);
+    ServiceCapacity& service = this->services[worker.description.service];
+    if (entry.schedulable) {
+      service.total += worker.description.capacity;
+    }
     if (entry.runs == nullptr) {
       continue;
     }
@@ -38,6 +44,11 @@
       this->Reserve(this->entries.size() - 1, demand);
       if (run.task->phase == TaskPhase::kStopping) {
         this->MarkReleasing(this->entries.size() - 1, demand);
+        continue;
+      }
+      service.used += demand;
+      if (run.job->submission.priority == 0) {
+        service.used_by_urgent += demand;
       }
     }
   }
@@ -61,6 +72,27 @@
   return this->rack_numbers;
 }
 
+void CapacityMap::HoldHeadroom(const ServiceId& service, double share) {
+  std::map<std::pair<std::uint64_t, RackId>, std::vector<std::size_t>> racks;
+  for (std::size_t i = 0; i < this->entries.size(); ++i) {
+    const WorkerDescription& worker = this->entries[i].worker->description;
+    if (this->entries[i].schedulable && worker.service == service) {
+      racks[{HashOf(worker.rack.value), worker.rack}].push_back(i);
+    }
+  }
+  const Resources& total = this->services[service].total;
+  Resources held;
+  for (const auto& [rack, workers] : racks) {
+    if (DominantShare(held, total) >= share) {
+      return;
+    }
+    for (const std::size_t i : workers) {
+      this->entries[i].headroom = true;
+      held += this->entries[i].worker->description.capacity;
+    }
+  }
+}
+
 void CapacityMap::Reserve(std::size_t index, const Resources& demand) {
   this->entries[index].free -= demand;
   this->entries[index].future_free -= demand;
--- a/packages/workload/capacity_map.h
+++ b/packages/workload/capacity_map.h
@@ -25,6 +25,17 @@
   Resources future_free;
   bool schedulable = false;
   bool avoided = false;
+  /// Held for urgent jobs.
+  bool headroom = false;
+};
+
+/// Capacity of all ready workers of one service, and its use.
+struct ServiceCapacity {
+  Resources total;
+  /// Resources of all tasks that are not being stopped.
+  Resources used;
+  /// The part of `used` that belongs to jobs of priority 0.
+  Resources used_by_urgent;
 };
 
 /// Capacity of all workers of the cluster. Rebuilt for each planning pass from
@@ -41,6 +52,16 @@
   /// order of their names.
   const std::vector<std::uint32_t>& RackNumbers();
 
+  /// Returns the capacity of each service at the start of the pass.
+  const std::map<ServiceId, ServiceCapacity>& Services() const {
+    return this->services;
+  }
+
+  /// Marks workers of the service as held for urgent jobs, whole racks at a
+  /// time, until they have `share` of the service's capacity. The order of the
+  /// racks is always the same, so that other work leaves them over time.
+  void HoldHeadroom(const ServiceId& service, double share);
+
   /// Reserves `demand` on a worker, for a new run or for a task that waits for
   /// resources there. Both reduce `free` as well as `future_free`, so that no
   /// later task takes the already free part of what a waiting task needs.
@@ -52,6 +73,7 @@
  private:
   std::vector<WorkerCapacity> entries;
   std::vector<std::uint32_t> rack_numbers;
+  std::map<ServiceId, ServiceCapacity> services;
 };
 
 }  // namespace carobrill::workload
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -310,6 +310,7 @@
         return std::pair(a.rank, a.slack_ms) < std::pair(b.rank, b.slack_ms);
       });
   Pass pass{time, CapacityMap(this->workers, this->runs, time.now), {}, {}, 0};
+  this->HoldHeadroom(waiting, pass);
   for (WaitingUnit& unit : waiting) {
     this->ScheduleTasks(unit, pass);
   }
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -18,6 +18,7 @@
 #include "packages/workload/planner_event.h"
 #include "packages/workload/preemption.h"
 #include "packages/workload/run_index.h"
+#include "packages/workload/urgent_headroom.h"
 #include "packages/workload/worker.h"
 
 namespace carobrill::workload {
@@ -109,8 +110,8 @@
   void MarkWorkerUnreachable(const InstanceId& agent);
   /// Registers a worker that has not yet responded to this planner.
   void RegisterWorker(const InstanceId& agent, Instant lease_expires_at);
-  void UpdateRunning(const InstanceId& agent,
   /// `read_at` (boot clock) is when the agent read the list from its worker.
+  void UpdateRunning(const InstanceId& agent,
                      const std::vector<RunningTask>& running,
                      Instant read_at);
   void ApplyRunReport(const InstanceId& agent,
@@ -216,6 +217,7 @@
                       PlacementUnit unit,
                       const TransitionTime& time,
                       std::vector<WaitingUnit>& waiting);
+  void HoldHeadroom(const std::vector<WaitingUnit>& waiting, Pass& pass);
   void ScheduleTasks(WaitingUnit& waiting, Pass& pass);
   bool ScheduleUnit(WaitingUnit& waiting, Pass& pass);
   bool ScheduleByLocality(WaitingUnit& waiting, Pass& pass);
@@ -272,6 +274,7 @@
   RunIndex runs;
   std::map<AccountId, std::int64_t> guarantees;
   std::set<JobId> guaranteed_jobs;
+  UrgentHeadroom headroom;
   AdviceCache advice_cache;
   std::vector<AdviceRequest> pending_advice;
   JobObjective objective{{}};
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -102,6 +102,27 @@
   waiting.push_back(std::move(entry));
 }
 
+void JobPlanner::HoldHeadroom(const std::vector<WaitingUnit>& waiting,
+                              Pass& pass) {
+  for (const auto& [service, capacity] : pass.map.Services()) {
+    Resources urgent = capacity.used_by_urgent;
+    for (const WaitingUnit& unit : waiting) {
+      const Submission& submission = unit.job->submission;
+      if (submission.priority == 0 && submission.service == service) {
+        urgent += unit.unit.Spec().PlacementDemand().Times(
+            static_cast<std::int64_t>(unit.unit.tasks.size()));
+      }
+    }
+    this->headroom.Observe(service, DominantShare(urgent, capacity.total),
+                           pass.time.now);
+    const double share = this->headroom.ShareFor(
+        service, DominantShare(capacity.used, capacity.total));
+    if (share > 0) {
+      pass.map.HoldHeadroom(service, share);
+    }
+  }
+}
+
 // When a task finds no worker, the tasks that have waited no longer find none
 // either.
 void JobPlanner::ScheduleTasks(WaitingUnit& waiting, Pass& pass) {
@@ -158,9 +179,12 @@
                                        ? this->settings.max_urgent_rack_wait_ms
                                        : this->settings.max_rack_wait_ms;
   const bool allow_any_rack = now >= waiting.runnable_since.After(max_wait_ms);
-  const PlacementConstraints preferred{CapacityKind::kFree, false, false};
+  // A long-running task has to run at any time.
+  const bool headroom = urgent || waiting.unit.Spec().long_running;
+  const PlacementConstraints preferred{CapacityKind::kFree, false, false,
+                                       headroom};
   const PlacementConstraints preferred_future_free{CapacityKind::kFutureFree,
-                                                   false, false};
+                                                   false, false, headroom};
   if (this->TryPlace(waiting, pass, preferred) ||
       this->TryReserve(waiting, pass, preferred_future_free)) {
     return true;
@@ -174,9 +198,10 @@
     if (any_rack && !allow_any_rack) {
       break;
     }
-    const PlacementConstraints free{CapacityKind::kFree, any_rack, true};
+    const PlacementConstraints free{CapacityKind::kFree, any_rack, true,
+                                    headroom};
     const PlacementConstraints future_free{CapacityKind::kFutureFree, any_rack,
-                                           true};
+                                           true, headroom};
     if (this->TryPlace(waiting, pass, free) ||
         this->TryReserve(waiting, pass, future_free) ||
         (needs_preemption && this->TryPreempt(waiting, pass, future_free))) {
@@ -205,7 +230,7 @@
   }
   PlacementUnit anywhere = unit;
   anywhere.allowed_workers.reset();
-  const PlacementConstraints constraints{CapacityKind::kFree, true, true};
+  const PlacementConstraints constraints{CapacityKind::kFree, true, true, true};
   std::vector<std::pair<double, WorkerIncarnation>> candidates;
   for (const WorkerCapacity& entry : pass.map.Entries()) {
     const WorkerDescription& worker = entry.worker->description;
--- a/packages/workload/placement.cc
+++ b/packages/workload/placement.cc
@@ -47,9 +47,7 @@
   Resources left = CapacityOf(entry, kind);
   const auto slots =
       static_cast<std::uint32_t>(demand.CountFitting(left, most));
-  left.cpu_millis -= slots * demand.cpu_millis;
-  left.memory_mb -= slots * demand.memory_mb;
-  left.accelerators -= slots * demand.accelerators;
+  left -= demand.Times(slots);
   const Resources& capacity = entry.worker->description.capacity;
   // Accelerators run out first for large tasks, so they have twice the weight.
   const double remaining_share =
@@ -106,7 +104,8 @@
 bool IsEligible(const PlacementUnit& unit,
                 const WorkerCapacity& entry,
                 const PlacementConstraints& constraints) {
-  if (!entry.schedulable || (entry.avoided && !constraints.allow_avoided)) {
+  if (!entry.schedulable || (entry.avoided && !constraints.allow_avoided) ||
+      (entry.headroom && !constraints.allow_headroom)) {
     return false;
   }
   const StepSpec& spec = unit.Spec();
--- a/packages/workload/placement.h
+++ b/packages/workload/placement.h
@@ -38,6 +38,8 @@
   bool allow_any_rack = false;
   /// Allow workers that are avoided after recent failures or stalls.
   bool allow_avoided = false;
+  /// Allow workers that are held for urgent jobs.
+  bool allow_headroom = false;
 
   bool operator==(const PlacementConstraints&) const = default;
 };
--- a/packages/workload/resources.h
+++ b/packages/workload/resources.h
@@ -31,6 +31,11 @@
            this->accelerators <= capacity.accelerators;
   }
 
+  Resources Times(std::int64_t count) const {
+    return {count * this->cpu_millis, count * this->memory_mb,
+            count * this->accelerators};
+  }
+
   /// Returns how many times this demand fits into `available`, at most `most`.
   std::uint64_t CountFitting(const Resources& available,
                              std::uint64_t most) const {
--- /dev/null
+++ b/tests/workload/load_test.cc
@@ -0,0 +1,89 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include "packages/workload/urgent_headroom.h"
+#include "tests/workload/planner_simulation.h"
+
+// Plays heavy loads and checks what callers get.
+
+namespace carobrill::workload {
+namespace {
+
+StepSpec MakeStep(std::uint32_t tasks,
+                  Resources demand,
+                  bool gang,
+                  std::int64_t estimate_ms) {
+  StepSpec step;
+  step.tasks = tasks;
+  step.demand = demand;
+  step.gang = gang;
+  step.estimate_ms = estimate_ms;
+  return step;
+}
+
+/// Urgent gangs that arrive four times a second and use a fifth of the cluster,
+/// beside more batch work than the cluster can do.
+void PlayUrgentGangsBesideBatch(PlannerSimulation& simulation,
+                                std::int64_t duration_ms) {
+  std::mt19937 random(7);
+  for (std::int64_t ms = 0; ms < duration_ms; ms += 250) {
+    const std::int64_t accelerators = std::int64_t{1} << random() % 4;
+    simulation.Submit(0, MakeStep(4 + random() % 5,
+                                  {3'700, 16'000, accelerators}, true, 2'000));
+    if (ms % 1'000 == 0) {
+      simulation.Submit(2, MakeStep(78, {2'800, 8'200, 1}, false, 5'000));
+      simulation.Submit(2, MakeStep(78, {2'800, 8'200, 1}, false, 5'000));
+    }
+    if (ms % 2'000 == 0) {
+      simulation.Submit(1, MakeStep(25, {13'000, 53'000, 2}, true, 7'000));
+    }
+    simulation.Advance(250);
+  }
+}
+
+TEST_CASE("urgent gangs start at once beside batch work beyond capacity") {
+  // Guards against an overload in which urgent gangs stop batch tasks that are
+  // started again and stopped by the next gang.
+  PlannerSimulation simulation(64, 8);
+  PlayUrgentGangsBesideBatch(simulation, 30'000);
+  std::vector<std::int64_t> starts;
+  std::size_t urgent = 0;
+  for (const auto& [id, job] : simulation.Jobs()) {
+    if (job.priority == 0) {
+      ++urgent;
+      starts.push_back(job.started_after_ms < 0 ? 60'000
+                                                : job.started_after_ms);
+    }
+  }
+  std::ranges::sort(starts);
+  // The goal is an urgent start within 1.9 s.
+  CHECK(starts[starts.size() * 95 / 100] <= 1'900);
+  MESSAGE("lost " << simulation.LostCoreSeconds() << " of "
+                  << simulation.DoneCoreSeconds() << " core seconds; median "
+                  << starts[starts.size() / 2] << " ms of " << urgent);
+  // Lost work is work for which another user did not get the workers.
+  CHECK(simulation.LostCoreSeconds() < 0.05 * simulation.DoneCoreSeconds());
+}
+
+TEST_CASE("headroom follows the recent urgent demand and then ends") {
+  UrgentHeadroom headroom;
+  const ServiceId service("s");
+  CHECK(headroom.ShareFor(service, 1.0) == 0);
+  headroom.Observe(service, 0.2, Instant{1'000});
+  CHECK(headroom.ShareFor(service, 1.0) == doctest::Approx(0.25));
+  // Other work may use all workers while many are idle.
+  CHECK(headroom.ShareFor(service, 0.4) == 0);
+  headroom.Observe(service, 0, Instant{2'000});
+  CHECK(headroom.ShareFor(service, 1.0) > 0.1);
+  headroom.Observe(service, 0, Instant{7'000});
+  CHECK(headroom.ShareFor(service, 1.0) == 0);
+  headroom.Observe(service, 0.9, Instant{8'000});
+  CHECK(headroom.ShareFor(service, 1.0) == 0.5);
+  CHECK(headroom.ShareFor(ServiceId("other"), 1.0) == 0);
+}
+
+}  // namespace
+}  // namespace carobrill::workload
--- /dev/null
+++ b/tests/workload/planner_simulation.h
@@ -0,0 +1,67 @@
+#ifndef TESTS_WORKLOAD_PLANNER_SIMULATION_H_
+#define TESTS_WORKLOAD_PLANNER_SIMULATION_H_
+
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "packages/workload/job_planner.h"
+
+namespace carobrill::workload {
+
+/// What the client of one simulated job observed. Times in ms after its
+/// acceptance; -1 until the event.
+struct SimulatedJob {
+  std::uint32_t priority = 0;
+  std::int64_t started_after_ms = -1;
+  std::int64_t completed_after_ms = -1;
+};
+
+/// Plays a load against a planner in steps of 20 ms: runs start, work for the
+/// estimated time of their step and end; stopped runs hold their resources for
+/// another 200 ms and lose their work.
+class PlannerSimulation {
+ public:
+  PlannerSimulation(std::uint32_t workers, std::uint32_t workers_per_rack);
+
+  JobPlanner& Planner() { return this->planner; }
+  Instant Now() const { return this->now; }
+
+  /// Submits a job of one step.
+  void Submit(std::uint32_t priority, const StepSpec& step);
+
+  /// Plays `duration_ms`.
+  void Advance(std::int64_t duration_ms);
+
+  const std::map<JobId, SimulatedJob>& Jobs() const { return this->jobs; }
+
+  /// Core-seconds of work that was done and lost (Resources::WeightedCores()).
+  double DoneCoreSeconds() const { return this->done_core_s; }
+  double LostCoreSeconds() const { return this->lost_core_s; }
+
+ private:
+  using RunKey = std::tuple<TaskKey, std::uint32_t>;
+
+  void ReportWorkers();
+  void PlayStep();
+  void PlayOrder(const InstanceId& agent, const TaskOrder& order);
+  void EndRun(const InstanceId& agent, const TaskOrder& order, RunEnd end);
+  void ObserveJobs();
+
+  TransitionTime Time() const { return {this->now, this->now}; }
+
+  std::uint32_t workers;
+  std::uint32_t workers_per_rack;
+  JobPlanner planner;
+  Instant now{1'000'000};
+  std::map<JobId, SimulatedJob> jobs;
+  /// When each run began, and when each stop was first ordered.
+  std::map<RunKey, Instant> began_at;
+  std::map<RunKey, Instant> stop_ordered_at;
+  double done_core_s = 0;
+  double lost_core_s = 0;
+};
+
+}  // namespace carobrill::workload
+
+#endif  // TESTS_WORKLOAD_PLANNER_SIMULATION_H_
