Check a caller's key again before each append

Change: every attempt checks the configuration's age and the key first; an earlier attempt without an answer keeps the answer open. Test: a key that is withdrawn between two attempts; without the check the job is accepted.

--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -309,12 +309,36 @@
     this->Answer(call, answer, "");
   }
 
+  /// Returns an answer if the call is no longer permitted. Between the first
+  /// check and an append, the process may have been suspended.
+  std::optional<CallerAnswer> FindRefusal(const Call& call, Instant now) const {
+    const Configuration* configuration = this->sources.configuration();
+    if (configuration == nullptr ||
+        now >= this->sources.configuration_fresh_at().After(
+                   this->settings.max_configuration_age_ms)) {
+      return this->NotDone();
+    }
+    if (!call.queue.anonymous &&
+        !configuration->account_by_key.contains(call.request.api_key)) {
+      return MakeAnswer(CallerOutcome::kUnknownKey);
+    }
+    return std::nullopt;
+  }
+
   // An unanswered append may still take effect later, so the call must not be
   // answered with kNotDone. The append is not retried: this gateway may be
   // partitioned from the log, and the client reaches another gateway on its
   // next attempt.
   void Store(const CallRef& call, CallerOutcome success) {
     const Instant now = BootClock{}.Now();
+    if (const auto refusal = this->FindRefusal(*call, now)) {
+      this->Answer(*call,
+                   this->MayBeStored(*call)
+                       ? MakeAnswer(CallerOutcome::kOutcomeUnknown)
+                       : *refusal,
+                   "the permission has ended meanwhile");
+      return;
+    }
     const std::int64_t left = call->request.deadline.RemainingMs(now) -
                               this->settings.response_margin_ms;
     if (left <= 0) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -12,12 +12,15 @@
 
 constexpr std::int64_t kWaitLimitMs = 5'000;
 
-Configuration TestConfiguration() {
+/// Version 1 has an API key, later versions have none.
+Configuration TestConfiguration(std::uint64_t version) {
   Configuration configuration;
-  configuration.version = 1;
+  configuration.version = version;
   configuration.queues.push_back(
       {"q", "host", "/jobs/", ServiceId("s"), 1, 2, 300, 1'000, false, {}});
-  configuration.account_by_key["key"] = AccountId("a");
+  if (version == 1) {
+    configuration.account_by_key["key"] = AccountId("a");
+  }
   return configuration;
 }
 
@@ -45,8 +48,9 @@
       this->gateways.push_back(std::make_unique<Core>(
           this->task, this->log, settings,
           ConfigurationSource{"op", "config",
-                              [](const std::string&) {
-                                return std::optional(TestConfiguration());
+                              [](const std::string& text) {
+                                return std::optional(
+                                    TestConfiguration(std::stoull(text)));
                               }},
           GatewayPorts{
               {[](const std::string&, const rpc::ExchangeRequest&, Instant,
@@ -273,6 +277,25 @@
   CHECK(oldest_ms <= FollowerSettings{}.wait_ms + 200);
 }
 
+TEST_CASE("a key that is withdrawn between two attempts is not honoured") {
+  // Guards against a permission that is used after it has ended, because it was
+  // checked only before a pause.
+  Cluster cluster;
+  cluster.Add("g1");
+  REQUIRE(cluster.WaitFor([&] { return cluster.Ready(0); }));
+  cluster.FailAppends({KeyedLogFailure::kRefused, KeyedLogFailure::kRefused});
+  auto answer = std::async(std::launch::async, [&] {
+    return cluster.Call(0, CallerOperation::kSubmit, kJobId);
+  });
+  g_usleep(20'000);
+  cluster.task.Run([&] {
+    cluster.log.append_faults.clear();
+    cluster.log.Append({"op", {{"config", "2"}}, {}, {}, Instant::Never()},
+                       [](const KeyedAppendReply&) {});
+  });
+  CHECK(answer.get().outcome == CallerOutcome::kUnknownKey);
+}
+
 TEST_CASE("calls with an unknown key or a malformed job ID are rejected") {
   Cluster cluster;
   cluster.Add("g1");
