Answer 500 for a request whose handler fails, and go on

Change: both servers log the error and end that call only; status 500 leaves open whether the request has taken effect. Tests: a failing handler before and after its answer, then a good request, over HTTP and gRPC.

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -2,14 +2,18 @@
 
 #include <libsoup/soup.h>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <utility>
 
+#include "packages/core/log.h"
+
 namespace carobrill::http {
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kInternalError = 500;
 constexpr const char* kBodySizeKey = "carobrill-body-size";
 
 /// A paused request whose response is pending. Accessed only on the server's
@@ -18,6 +22,7 @@
   SoupServerMessage* message = nullptr;
   gulong finished_handler = 0;
   bool finished = false;
+  bool responded = false;
 
   ~PendingExchange() {
     g_signal_handler_disconnect(this->message, this->finished_handler);
@@ -89,7 +94,7 @@
 
 // The client may have disconnected before the response is ready.
 void SendResponse(PendingExchange& exchange, const HttpResponse& response) {
-  if (exchange.finished) {
+  if (exchange.finished || std::exchange(exchange.responded, true)) {
     return;
   }
   WriteResponse(exchange.message, response);
@@ -172,8 +177,17 @@
                gpointer data) {
   auto* handler_data = static_cast<HandlerData*>(data);
   TrackRequest(message, handler_data->tracker);
-  const HttpRequest request = ReadRequest(message, path, query);
-  (*handler_data->handler)(request, MakeResponder(handler_data->task, message));
+  HttpResponder respond = MakeResponder(handler_data->task, message);
+  // One request that cannot be handled must not end the process. The request
+  // may have taken effect, which status 500 leaves open.
+  try {
+    const HttpRequest request = ReadRequest(message, path, query);
+    (*handler_data->handler)(request, respond);
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "request handler failed",
+        {{"path", path}, {"reason", error.what()}});
+    respond(HttpResponse{kInternalError, "", "text/plain", {}});
+  }
 }
 
 void DeleteHandlerData(gpointer data) {
--- a/packages/rpc/server_core.h
+++ b/packages/rpc/server_core.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include <thread>
 #include <utility>
 
+#include "packages/core/log.h"
 #include "packages/core/result.h"
 #include "packages/core/task.h"
 #include "packages/rpc/grpc_limits.h"
@@ -136,12 +138,19 @@
   call->on_done = [state, call_id] { state->open_calls.Remove(call_id); };
   Responder<Reply> respond(
       [call](std::optional<Reply> answer) { call->Answer(std::move(answer)); });
-  state->owner.Post(
-      [state, handler, request, respond = std::move(respond)]() mutable {
-        if (!state->closed) {
-          (state->handlers.*handler)(std::move(request), std::move(respond));
-        }
-      });
+  state->owner.Post([state, handler, request,
+                     respond = std::move(respond)]() mutable {
+    if (state->closed) {
+      return;
+    }
+    // One call that cannot be handled must not end the process. A responder
+    // without a reply ends the call.
+    try {
+      (state->handlers.*handler)(std::move(request), std::move(respond));
+    } catch (const std::exception& error) {
+      Log(LogLevel::kError, "call handler failed", {{"reason", error.what()}});
+    }
+  });
   return call.get();
 }
 
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "packages/http/http_client.h"
@@ -49,6 +51,34 @@
   CHECK(reply.body == "POST/pathbnbody");
 }
 
+TEST_CASE("a handler that fails ends its request, not the server") {
+  // Guards against one unexpected error that ends a whole process.
+  Task server_task("server");
+  Task client_task("client");
+  HttpServer server(server_task,
+                    [&](const HttpRequest& request, HttpResponder respond) {
+                      if (request.path == "/late") {
+                        respond(HttpResponse{200, "ok", "text/plain", {}});
+                      }
+                      if (request.path != "/good") {
+                        throw std::runtime_error("unexpected");
+                      }
+                      respond(HttpResponse{200, "ok", "text/plain", {}});
+                    });
+  const auto port = server.Listen("127.0.0.1", 0);
+  REQUIRE(port.has_value());
+  HttpClient client(client_task);
+  const std::pair<const char*, int> calls[] = {
+      {"/bad", 500}, {"/late", 200}, {"/good", 200}};
+  for (const auto& [path, status] : calls) {
+    CAPTURE(path);
+    HttpClientRequest call;
+    call.method = "GET";
+    call.url = UrlOf(*port, path);
+    CHECK(client.SendAndWait(call).status == status);
+  }
+}
+
 TEST_CASE("a call without a response ends at its deadline") {
   Task server_task("server");
   Task client_task("client");
--- a/tests/rpc/rpc_test.cc
+++ b/tests/rpc/rpc_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -102,6 +103,21 @@
   CHECK(reply.failure == RpcFailure::kInternal);
 }
 
+TEST_CASE("a handler that fails ends its call, not the server") {
+  // Guards against one unexpected error that ends a whole process.
+  AgentHandlers handlers;
+  handlers.execute = [&](ExecuteRequest request,
+                         Responder<ExecuteReply> respond) {
+    if (request.attempt() == "bad") {
+      throw std::runtime_error("unexpected");
+    }
+    respond(ExecuteReply());
+  };
+  AgentFixture fixture(std::move(handlers));
+  CHECK(fixture.Send("bad", kTimeoutMs).get().failure == RpcFailure::kInternal);
+  CHECK(fixture.Send("good", kTimeoutMs).get().Ok());
+}
+
 TEST_CASE("a call to a closed port is unreachable") {
   AgentFixture fixture({});
   const auto server_address = fixture.address;
