Hold headroom also while the cluster is not full; wide gangs do not wait for a rack

A gang wider than any rack waited 3 s (urgent 0.9 s) for one. Late urgent jobs, worth a fraction, might stop as much as those in time. Change: headroom is always held; under half of the capacity in use other jobs may use it after 1 s. A late urgent job may lose half of its own work to others instead of twice.

--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -218,6 +218,7 @@
                       const TransitionTime& time,
                       std::vector<WaitingUnit>& waiting);
   void HoldHeadroom(const std::vector<WaitingUnit>& waiting, Pass& pass);
+  bool MayUseHeadroom(const WaitingUnit& waiting, const Pass& pass) const;
   void ScheduleTasks(WaitingUnit& waiting, Pass& pass);
   bool ScheduleUnit(WaitingUnit& waiting, Pass& pass);
   bool ScheduleByLocality(WaitingUnit& waiting, Pass& pass);
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -15,8 +15,9 @@
 
 /// Maximum work that may be lost to preemption for urgent work, as a multiple
 /// of that urgent work. An urgent task that ends in time is worth about twice
-/// the cost of its own work.
+/// the cost of its own work, one that ends late a fraction of that.
 constexpr double kMaxLostWorkRatio = 2;
+constexpr double kMaxLostWorkRatioWhenLate = 0.5;
 
 /// Maximum number of workers that a policy accepts in one request.
 constexpr std::size_t kMaxAdviceCandidates = 100;
@@ -115,11 +116,7 @@
     }
     this->headroom.Observe(service, DominantShare(urgent, capacity.total),
                            pass.time.now);
-    const double share = this->headroom.ShareFor(
-        service, DominantShare(capacity.used, capacity.total));
-    if (share > 0) {
-      pass.map.HoldHeadroom(service, share);
-    }
+    pass.map.HoldHeadroom(service, this->headroom.ShareFor(service));
   }
 }
 
@@ -169,6 +166,20 @@
   return false;
 }
 
+// A long-running task has to run at any time.
+bool JobPlanner::MayUseHeadroom(const WaitingUnit& waiting,
+                                const Pass& pass) const {
+  const Submission& submission = waiting.job->submission;
+  if (submission.priority == 0 || waiting.unit.Spec().long_running) {
+    return true;
+  }
+  const auto service = pass.map.Services().find(submission.service);
+  return service == pass.map.Services().end() ||
+         UrgentHeadroom::Admits(
+             DominantShare(service->second.used, service->second.total),
+             waiting.runnable_since, pass.time.now);
+}
+
 // Tries workers on preferred racks that are not avoided first, then avoided
 // workers, then other racks once the wait for a rack is over. Returns true when
 // the unit has been placed, or has reserved capacity that is being freed.
@@ -178,9 +189,10 @@
   const std::int64_t max_wait_ms = urgent
                                        ? this->settings.max_urgent_rack_wait_ms
                                        : this->settings.max_rack_wait_ms;
-  const bool allow_any_rack = now >= waiting.runnable_since.After(max_wait_ms);
-  // A long-running task has to run at any time.
-  const bool headroom = urgent || waiting.unit.Spec().long_running;
+  const bool allow_any_rack =
+      now >= waiting.runnable_since.After(max_wait_ms) ||
+      !FitsOnOneRack(waiting.unit, pass.map);
+  const bool headroom = this->MayUseHeadroom(waiting, pass);
   const PlacementConstraints preferred{CapacityKind::kFree, false, false,
                                        headroom};
   const PlacementConstraints preferred_future_free{CapacityKind::kFutureFree,
@@ -350,8 +362,8 @@
   return true;
 }
 
-// Lost work has to be repeated, so more than kMaxLostWorkRatio times the urgent
-// work is given up only for a guarantee.
+// Lost work has to be repeated, so more than these multiples of the urgent work
+// are given up only for a guarantee.
 PreemptionRights JobPlanner::RightsOf(const WaitingUnit& waiting,
                                       Instant now) const {
   PreemptionRights rights{waiting.unit.submission->priority, waiting.guaranteed,
@@ -361,7 +373,9 @@
     const double own_core_s = spec.demand.WeightedCores() *
                               static_cast<double>(spec.estimate_ms) / 1000 *
                               static_cast<double>(waiting.unit.tasks.size());
-    rights.max_lost_core_s = kMaxLostWorkRatio * own_core_s;
+    rights.max_lost_core_s =
+        own_core_s *
+        (waiting.slack_ms >= 0 ? kMaxLostWorkRatio : kMaxLostWorkRatioWhenLate);
   }
   return rights;
 }
--- a/packages/workload/placement.cc
+++ b/packages/workload/placement.cc
@@ -120,6 +120,31 @@
           unit.allowed_workers->contains(worker.incarnation));
 }
 
+bool FitsOnOneRack(const PlacementUnit& unit, CapacityMap& map) {
+  if (!unit.Spec().one_rack) {
+    return true;
+  }
+  const Resources demand = unit.Spec().PlacementDemand();
+  const PlacementConstraints anywhere{CapacityKind::kFree, true, true, true};
+  std::vector<std::uint64_t> slots;
+  for (std::size_t i = 0; i < map.Entries().size(); ++i) {
+    const WorkerCapacity& entry = map.Entries()[i];
+    if (!IsEligible(unit, entry, anywhere)) {
+      continue;
+    }
+    const std::size_t rack = map.RackNumbers()[i];
+    slots.resize(std::max(slots.size(), rack + 1));
+    slots[rack] += demand.CountFitting(
+        entry.worker->description.capacity,
+        std::min<std::uint64_t>(RemainingSpreadLimit(unit, entry),
+                                unit.tasks.size()));
+    if (slots[rack] >= unit.tasks.size()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<std::vector<std::size_t>> CandidateSets(
     const PlacementUnit& unit,
     CapacityMap& map,
--- a/packages/workload/placement.h
+++ b/packages/workload/placement.h
@@ -54,6 +54,10 @@
 std::uint32_t RemainingSpreadLimit(const PlacementUnit& unit,
                                    const WorkerCapacity& entry);
 
+/// True when the unit prefers no single rack, or when the workers of some rack,
+/// if idle, could take all of its tasks.
+bool FitsOnOneRack(const PlacementUnit& unit, CapacityMap& map);
+
 /// Returns the sets of eligible workers, by index, within each of which the
 /// whole unit may be placed: one set per rack when the unit should stay on one
 /// rack, otherwise one set over all racks.
--- a/packages/workload/urgent_headroom.cc
+++ b/packages/workload/urgent_headroom.cc
@@ -14,9 +14,11 @@
 /// Other jobs keep at least the rest.
 constexpr double kMaxShare = 0.5;
 
-/// With less of the capacity in use, other jobs may use all of it: preemption
-/// is unlikely, and idle workers serve no one.
-constexpr double kMinUsedShare = 0.6;
+/// With less of the capacity in use, other jobs may use all of it after a short
+/// wait: idle workers serve no one. The platform counts a job as lost that
+/// waits for 3 s while less than half is in use.
+constexpr double kMinUsedShare = 0.5;
+constexpr std::int64_t kMaxWaitMs = 1'000;
 
 }  // namespace
 
@@ -31,13 +33,17 @@
   demand.observed_at = now;
 }
 
-double UrgentHeadroom::ShareFor(const ServiceId& service,
-                                double used_share) const {
+double UrgentHeadroom::ShareFor(const ServiceId& service) const {
   const auto demand = this->demands.find(service);
-  if (demand == this->demands.end() || used_share < kMinUsedShare) {
-    return 0;
-  }
-  return std::min(kMaxShare, kMargin * demand->second.peak);
+  return demand == this->demands.end()
+             ? 0
+             : std::min(kMaxShare, kMargin * demand->second.peak);
+}
+
+bool UrgentHeadroom::Admits(double used_share,
+                            Instant waiting_since,
+                            Instant now) {
+  return used_share < kMinUsedShare && now >= waiting_since.After(kMaxWaitMs);
 }
 
 }  // namespace carobrill::workload
--- a/packages/workload/urgent_headroom.h
+++ b/packages/workload/urgent_headroom.h
@@ -17,9 +17,12 @@
   /// Records the share that urgent jobs use or wait for at `now` (boot clock).
   void Observe(const ServiceId& service, double share, Instant now);
 
-  /// Returns the share to hold for urgent jobs, including what they use, while
-  /// `used_share` of the capacity is in use by all jobs.
-  double ShareFor(const ServiceId& service, double used_share) const;
+  /// Returns the share to hold for urgent jobs, including what they use.
+  double ShareFor(const ServiceId& service) const;
+
+  /// True if a job that is not urgent may use what is held, because it has
+  /// waited since `waiting_since` although little of the capacity is in use.
+  static bool Admits(double used_share, Instant waiting_since, Instant now);
 
  private:
   struct Demand {
--- a/tests/workload/load_test.cc
+++ b/tests/workload/load_test.cc
@@ -71,18 +71,40 @@
 TEST_CASE("headroom follows the recent urgent demand and then ends") {
   UrgentHeadroom headroom;
   const ServiceId service("s");
-  CHECK(headroom.ShareFor(service, 1.0) == 0);
+  CHECK(headroom.ShareFor(service) == 0);
   headroom.Observe(service, 0.2, Instant{1'000});
-  CHECK(headroom.ShareFor(service, 1.0) == doctest::Approx(0.25));
-  // Other work may use all workers while many are idle.
-  CHECK(headroom.ShareFor(service, 0.4) == 0);
+  CHECK(headroom.ShareFor(service) == doctest::Approx(0.25));
   headroom.Observe(service, 0, Instant{2'000});
-  CHECK(headroom.ShareFor(service, 1.0) > 0.1);
+  CHECK(headroom.ShareFor(service) > 0.1);
   headroom.Observe(service, 0, Instant{7'000});
-  CHECK(headroom.ShareFor(service, 1.0) == 0);
+  CHECK(headroom.ShareFor(service) == 0);
   headroom.Observe(service, 0.9, Instant{8'000});
-  CHECK(headroom.ShareFor(service, 1.0) == 0.5);
-  CHECK(headroom.ShareFor(ServiceId("other"), 1.0) == 0);
+  CHECK(headroom.ShareFor(service) == 0.5);
+  CHECK(headroom.ShareFor(ServiceId("other")) == 0);
+}
+
+TEST_CASE(
+    "other work uses the headroom of an idle cluster after a short wait") {
+  // Guards against a job that waits for a long time beside idle workers.
+  PlannerSimulation simulation(16, 4);
+  // Urgent work that uses half of the cluster for a moment.
+  simulation.Submit(0, MakeStep(8, {3'700, 16'000, 8}, true, 200));
+  simulation.Advance(300);
+  // Needs more workers than are not held.
+  simulation.Submit(1, MakeStep(16, {3'700, 16'000, 8}, true, 2'000));
+  simulation.Advance(3'000);
+  CHECK(simulation.Jobs().rbegin()->second.started_after_ms >= 0);
+  CHECK(simulation.Jobs().rbegin()->second.started_after_ms < 1'500);
+}
+
+TEST_CASE("a gang that is wider than any rack does not wait for one") {
+  // Guards against a wait that cannot end well and uses up the objective.
+  PlannerSimulation simulation(16, 4);
+  StepSpec step = MakeStep(8, {3'700, 16'000, 8}, true, 2'000);
+  step.one_rack = true;
+  simulation.Submit(1, step);
+  simulation.Advance(100);
+  CHECK(simulation.Jobs().begin()->second.started_after_ms == 20);
 }
 
 }  // namespace
