Log the reason and the call stack of an error that ends the process

Change: a terminate handler logs what() and the frames that threw. Test: a child process that ends by an exception.

--- a/packages/daemon/main_carobrilld.cc
+++ b/packages/daemon/main_carobrilld.cc
@@ -8,6 +8,7 @@
 
 #include "packages/core/log.h"
 #include "packages/core/state_chart.h"
+#include "packages/core/termination_log.h"
 #include "packages/daemon/agent_role.h"
 #include "packages/daemon/daemon_options.h"
 #include "packages/daemon/daemon_runner.h"
@@ -58,6 +59,7 @@
 ExitCode Run(const Settings& settings) {
   ConfigureLog({settings.instance.log_level, settings.instance.log_format,
                 settings.instance.id});
+  LogTermination();
   switch (settings.role) {
     case Role::kEntry:
       return RunRole<EntryRole>(settings, StartRole<EntryRole>);
--- a/tests/core/log_test.cc
+++ b/tests/core/log_test.cc
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <string>
 
+#include "packages/core/termination_log.h"
 #include "packages/core/time.h"
 
 namespace carobrill {
@@ -60,5 +63,32 @@
   CHECK(lines <= 2 * kLogLinesPerSecond);
 }
 
+TEST_CASE("an error that ends the process is logged with its reason") {
+  // Guards against a process that ends without a trace of the cause.
+  int pipe_ends[2];
+  REQUIRE(pipe(pipe_ends) == 0);
+  const pid_t child = fork();
+  if (child == 0) {
+    dup2(pipe_ends[1], STDOUT_FILENO);
+    LogTermination();
+    []() noexcept { throw std::runtime_error("broken invariant"); }();
+  }
+  REQUIRE(child > 0);
+  close(pipe_ends[1]);
+  std::string output;
+  char buffer[4'096];
+  ssize_t size = 0;
+  while ((size = read(pipe_ends[0], buffer, sizeof(buffer))) > 0) {
+    output.append(buffer, static_cast<std::size_t>(size));
+  }
+  close(pipe_ends[0]);
+  int status = 0;
+  REQUIRE(waitpid(child, &status, 0) == child);
+  CHECK(WIFSIGNALED(status));
+  CHECK(output.find("process terminates") != std::string::npos);
+  CHECK(output.find("broken invariant") != std::string::npos);
+  CHECK(output.find("\"stack\":\"0x") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace carobrill
