--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -43,6 +43,23 @@
   CHECK(mixed.records[0].offset == 5);
 }
 
+TEST_CASE("a snapshot with values of other types does not end the process") {
+  // Guards against one malformed message that takes a whole process down.
+  for (const char* text :
+       {"", "5", "{}", R"({"end":-1,"items":[]})", R"({"end":1,"items":5})"}) {
+    CAPTURE(text);
+    CHECK(detail::DecodeSnapshot(text).failure == KeyedLogFailure::kMalformed);
+  }
+  const auto reply = detail::DecodeSnapshot(
+      R"({"end":9,"more":"yes","items":[5,{"key":1},{"key":"k","value":3},)"
+      R"({"key":"k","value":"dg==","offset":"x"},)"
+      R"({"key":"k","value":"dg==","offset":4}]})");
+  CHECK(reply.failure == KeyedLogFailure::kNone);
+  CHECK_FALSE(reply.more);
+  REQUIRE(reply.records.size() == 1);
+  CHECK(reply.records[0].entry == KeyedEntry{"k", "v"});
+}
+
 TEST_CASE("task names are read back, and other text is refused") {
   const workload::TaskKey task{JobId("5c0e7a21d94b36f8"), 1, 2, 17};
   CHECK(EncodeTaskName(task) == "5c0e7a21d94b36f8.1.2.17");
