Do not end the planner over an unknown service; share the preemption searches

A unit that got no search in a pass, because others had used them up, was put off for 150 ms like those, and so again and again. Change: a service without workers is skipped; only a unit that was searched for is put off. Tests: a gang of a service without workers (threw); an urgent job that may preempt beside twenty that may not (560 ms, now within 500).

--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -129,7 +129,11 @@
 // Urgent gangs have headroom and preempt others instead.
 void JobPlanner::ReserveWorkers(const WaitingUnit& waiting, Pass& pass) {
   const Submission& submission = waiting.job->submission;
-  const ServiceCapacity& service = pass.map.Services().at(submission.service);
+  const auto service = pass.map.Services().find(submission.service);
+  if (service == pass.map.Services().end()) {
+    return;
+  }
+  const auto& [total, used, used_by_urgent] = service->second;
   Resources reserved = pass.reserved[submission.service];
   reserved += waiting.unit.Spec().PlacementDemand().Times(
       static_cast<std::int64_t>(waiting.unit.tasks.size()));
@@ -138,8 +142,8 @@
       waiting.unit.allowed_workers.has_value() ||
       now < waiting.runnable_since.After(
                 this->settings.gang_reservation_wait_ms) ||
-      DominantShare(service.used, service.total) < kMinUsedShare ||
-      DominantShare(reserved, service.total) > kMaxReservedShare) {
+      DominantShare(used, total) < kMinUsedShare ||
+      DominantShare(reserved, total) > kMaxReservedShare) {
     return;
   }
   const bool any_rack =
@@ -232,6 +236,7 @@
       now >= waiting.runnable_since.After(max_wait_ms) ||
       !FitsOnOneRack(waiting.unit, pass.map);
   const bool headroom = this->MayUseHeadroom(waiting, pass);
+  const std::uint32_t searches_before = pass.preemption_searches;
   const PlacementConstraints preferred{CapacityKind::kFree, false, false,
                                        headroom};
   const PlacementConstraints preferred_future_free{CapacityKind::kFutureFree,
@@ -259,12 +264,9 @@
       return true;
     }
   }
-  if (needs_preemption) {
-    TaskState& first = waiting.Task(waiting.unit.tasks.front());
-    if (now >= first.preemption_search_at) {
-      first.preemption_search_at =
-          now.After(this->settings.preemption_search_interval_ms);
-    }
+  if (pass.preemption_searches > searches_before) {
+    waiting.Task(waiting.unit.tasks.front()).preemption_search_at =
+        now.After(this->settings.preemption_search_interval_ms);
   }
   return false;
 }
--- a/tests/workload/load_test.cc
+++ b/tests/workload/load_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "packages/workload/urgent_headroom.h"
+#include "tests/workload/planner_fixture.h"
 #include "tests/workload/planner_simulation.h"
 
 // Plays heavy loads and checks what callers get.
@@ -89,6 +90,39 @@
   CHECK(simulation.Jobs().at(gang).completed_after_ms <= 22'000);
 }
 
+TEST_CASE("an urgent job that may preempt is not kept waiting by others") {
+  // Guards against units whose searches fail and use up the searches of each
+  // planning pass.
+  PlannerSimulation simulation(4, 4);
+  for (int i = 0; i < 4; ++i) {
+    simulation.Submit(2, MakeStep(1, {1'000, 1'000, 8}, false, 60'000));
+  }
+  simulation.Advance(3'000);
+  // Worth too little to stop a task that has run for 3 s.
+  for (int i = 0; i < 20; ++i) {
+    simulation.Submit(0, MakeStep(1, {1'000, 1'000, 8}, false, 100));
+  }
+  simulation.Submit(0, MakeStep(1, {1'000, 1'000, 8}, false, 2'000));
+  simulation.Advance(1'000);
+  CHECK(simulation.Jobs().rbegin()->second.started_after_ms > 0);
+  // One stop takes 200 ms.
+  CHECK(simulation.Jobs().rbegin()->second.started_after_ms <= 500);
+}
+
+TEST_CASE("a gang of a service without workers waits") {
+  // Guards against an unexpected error that ends the planner.
+  PlannerFixture fixture(1);
+  StepSpec step = MakeStep(2, {1'000, 1'000, 1}, true, 2'000);
+  Submission job = MakeJob("j", step);
+  job.service = ServiceId("unknown");
+  fixture.planner.Submit(job);
+  fixture.Plan();
+  fixture.now.ms += 5'000;
+  fixture.ReportWorker(0);
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().empty());
+}
+
 TEST_CASE("headroom follows the recent urgent demand and then ends") {
   UrgentHeadroom headroom;
   const ServiceId service("s");
