Refuse submissions while no path reaches the log, before an append is sent

Cause: a gateway knew within 10 ms that its direct connection to the store was lost, but sent appends for another 0.6 to 1.2 s, until its waiting reads had failed through the other gateways as well. An append without an answer may take effect late, so the job could not be refused any more.

Change: while direct calls of the log fail, an append is sent only after a read has succeeded on some path. Otherwise the call is refused at once and can be refused truly.

--- a/packages/gateway/caller_api.h
+++ b/packages/gateway/caller_api.h
@@ -59,6 +59,8 @@
   std::function<Instant()> view_fresh_at;
   /// True while all reads of the log fail.
   std::function<bool()> log_failing;
+  /// True while direct calls of the log fail. Other paths may still work.
+  std::function<bool()> direct_path_failing;
   /// True if the view may lack progress that was stored some time ago.
   std::function<bool()> progress_behind;
   /// @{
@@ -328,35 +330,69 @@
   // An unanswered append may still take effect later, so the call must not be
   // answered with kNotDone. The append is not retried: this gateway may be
   // partitioned from the log, and the client reaches another gateway on its
-  // next attempt.
+  // next attempt. While direct calls fail, an append is sent only after a read
+  // has succeeded on some path, so that a call that no path can store can still
+  // be refused.
   void Store(const CallRef& call, CallerOutcome success) {
+    if (this->GiveUpIfHopeless(*call)) {
+      return;
+    }
+    if (!this->sources.direct_path_failing()) {
+      this->Append(call, success);
+      return;
+    }
+    this->sources.barrier(
+        [this, alive = this->alive, call, success](bool complete) {
+          if (!*alive) {
+            return;
+          }
+          if (!complete) {
+            this->GiveUp(*call, "cut off from the log");
+          } else if (!this->GiveUpIfHopeless(*call)) {
+            this->Append(call, success);
+          }
+        });
+  }
+
+  /// Answers the call and returns true if it is no longer permitted or cannot
+  /// be stored now.
+  bool GiveUpIfHopeless(Call& call) {
     const Instant now = BootClock{}.Now();
-    if (const auto refusal = this->FindRefusal(*call, now)) {
-      this->Answer(*call,
-                   this->MayBeStored(*call)
+    if (const auto refusal = this->FindRefusal(call, now)) {
+      this->Answer(call,
+                   this->MayBeStored(call)
                        ? MakeAnswer(CallerOutcome::kOutcomeUnknown)
                        : *refusal,
                    "the permission has ended meanwhile");
-      return;
+      return true;
     }
-    const std::int64_t left = call->request.deadline.RemainingMs(now) -
-                              this->settings.response_margin_ms;
-    if (left <= 0) {
-      this->GiveUp(*call, "deadline");
-      return;
+    if (this->TimeLeftMs(call, now) <= 0) {
+      this->GiveUp(call, "deadline");
+      return true;
     }
     if (this->sources.log_failing() ||
         now >= this->sources.view_fresh_at().After(
                    this->settings.max_append_view_age_ms)) {
-      this->GiveUp(*call, "cut off from the log");
-      return;
+      this->GiveUp(call, "cut off from the log");
+      return true;
     }
+    return false;
+  }
+
+  /// Time left for an append before the response has to be sent.
+  std::int64_t TimeLeftMs(const Call& call, Instant now) const {
+    return call.request.deadline.RemainingMs(now) -
+           this->settings.response_margin_ms;
+  }
+
+  void Append(const CallRef& call, CallerOutcome success) {
+    const Instant now = BootClock{}.Now();
     ++call->attempts;
     KeyedAppend append;
     append.topic = kIntakeTopic;
     append.entries = {call->entry};
-    append.deadline =
-        now.After(std::min(left, this->settings.append_timeout_ms));
+    append.deadline = now.After(std::min(this->TimeLeftMs(*call, now),
+                                         this->settings.append_timeout_ms));
     this->log.Append(append, [this, alive = this->alive, call,
                               success](const KeyedAppendReply& reply) {
       if (*alive) {
--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -36,6 +36,8 @@
   PlannerPorts planner;
   /// Reports another gateway and its address ("ip:port").
   std::function<void(const InstanceId&, const std::string& address)> on_gateway;
+  /// True while direct calls of the log fail. Other paths may still work.
+  std::function<bool()> direct_path_failing = [] { return false; };
 };
 
 /// Gateway settings; times in ms.
@@ -215,6 +217,7 @@
           return std::min(this->intake.FreshAt(), this->progress.FreshAt());
         },
         [this] { return this->intake.Failing() && this->progress.Failing(); },
+        this->ports.direct_path_failing,
         [this] { return this->progress.Gathering(); },
         [this](std::function<void(bool)> done) {
           this->intake.Barrier(std::move(done));
--- a/packages/gateway/relayed_log.h
+++ b/packages/gateway/relayed_log.h
@@ -73,6 +73,9 @@
     }
   }
 
+  /// True if the last direct call was refused or not answered.
+  bool DirectPathFailing() const { return this->direct_failing; }
+
   void Append(const KeyedAppend& append,
               std::function<void(KeyedAppendReply)> callback) {
     this->StartCall<KeyedAppendReply>(
@@ -301,7 +304,6 @@
   Counter& relayed_calls;
   /// Ordered by the last conclusive answer, most recent first.
   std::vector<Peer> peers;
-  /// The last direct call was refused or not answered.
   bool direct_failing = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/tests/gateway/relayed_log_test.cc
+++ b/tests/gateway/relayed_log_test.cc
@@ -4,6 +4,7 @@
 
 #include <future>
 
+#include "tests/gateway/faulty_log.h"
 #include "tests/gateway/memory_log.h"
 
 namespace carobrill::gateway {
@@ -11,54 +12,6 @@
 
 using F = KeyedLogFailure;
 
-/// Connection of one gateway to the log: working, refusing or not answering.
-class FaultyLog {
- public:
-  FaultyLog(Task& task, MemoryLog& log) : task(task), log(log) {}
-
-  void Append(const KeyedAppend& append,
-              std::function<void(KeyedAppendReply)> callback) {
-    this->Forward(append.deadline, std::move(callback), [&](auto done) {
-      this->log.Append(append, std::move(done));
-    });
-  }
-  void Read(const KeyedRead& read,
-            std::function<void(KeyedReadReply)> callback) {
-    this->Forward(read.deadline, std::move(callback),
-                  [&](auto done) { this->log.Read(read, std::move(done)); });
-  }
-  void ReadSnapshot(const KeyedSnapshotRead& read,
-                    std::function<void(KeyedSnapshotReply)> callback) {
-    this->Forward(read.deadline, std::move(callback), [&](auto done) {
-      this->log.ReadSnapshot(read, std::move(done));
-    });
-  }
-
-  F failure = F::kNone;
-
- private:
-  template <typename Reply, typename Call>
-  void Forward(Instant deadline,
-               std::function<void(Reply)> callback,
-               Call&& call) {
-    if (this->failure == F::kNone) {
-      call(std::move(callback));
-      return;
-    }
-    Reply reply;
-    reply.failure = this->failure;
-    auto answer = [reply, callback = std::move(callback)] { callback(reply); };
-    if (this->failure == F::kRefused) {
-      this->task.Post(answer);
-    } else {
-      this->task.PostAt(deadline, answer);
-    }
-  }
-
-  Task& task;
-  MemoryLog& log;
-};
-
 /// Two gateways, `a` and `b`, that share one log.
 struct GatewayPair {
   GatewayPair()
