Run wide urgent steps in waves while their objective leaves time for it

Cause: an urgent job of eight tasks, each as large as a worker, took eight of eleven workers at once for 24 s, although its objective assumes that a quarter of the capacity runs it and left it 127 s. No other job may preempt urgent tasks, so the jobs that arrived meanwhile shared three workers.

Change: the tasks of an urgent step that run at once are limited to the share that the objective assumes, while the slack is longer than one task. Not for guaranteed jobs, which have to start whole within a time limit, nor for gangs.

A first form limited jobs of every priority; three tests of small clusters showed that it leaves workers idle without need, since lower priorities can be preempted.

--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -63,16 +63,24 @@
   }
 }
 
-std::int64_t JobObjective::WaveCount(const StepSpec& step,
-                                     std::int64_t tasks) const {
+std::int64_t JobObjective::TasksAtOnce(const StepSpec& step,
+                                       std::int64_t tasks) const {
   std::int64_t slots = 0;
   for (const Kind& kind : this->kinds) {
     slots +=
         kind.workers *
         std::min(SlotsOnWorker(step.PlacementDemand(), kind.capacity), tasks);
   }
-  const std::int64_t at_once =
-      std::max<std::int64_t>(1, slots / kCapacityDivisor);
+  return std::max<std::int64_t>(1, slots / kCapacityDivisor);
+}
+
+std::int64_t JobObjective::TasksAtOnce(const StepSpec& step) const {
+  return this->TasksAtOnce(step, step.tasks);
+}
+
+std::int64_t JobObjective::WaveCount(const StepSpec& step,
+                                     std::int64_t tasks) const {
+  const std::int64_t at_once = this->TasksAtOnce(step, tasks);
   return (tasks + at_once - 1) / at_once;
 }
 
--- a/packages/workload/job_objective.h
+++ b/packages/workload/job_objective.h
@@ -31,6 +31,9 @@
   /// plus the queue's slack.
   Instant DeadlineOf(const Job& job, std::uint32_t occurrence) const;
 
+  /// Number of tasks of the step that the objective assumes to run at once.
+  std::int64_t TasksAtOnce(const StepSpec& step) const;
+
   /// Estimated critical path of the remaining work of an occurrence, in ms.
   std::int64_t RemainingMs(const Job& job, std::uint32_t occurrence) const;
 
@@ -41,6 +44,7 @@
 
  private:
   std::int64_t AllowanceMs(const Job& job) const;
+  std::int64_t TasksAtOnce(const StepSpec& step, std::int64_t tasks) const;
   std::int64_t WaveCount(const StepSpec& step, std::int64_t tasks) const;
 
   /// Workers of the same capacity.
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -225,6 +225,7 @@
   void HoldHeadroom(const std::vector<WaitingUnit>& waiting, Pass& pass);
   bool MayUseHeadroom(const WaitingUnit& waiting, const Pass& pass) const;
   void ReserveWorkers(const WaitingUnit& waiting, Pass& pass);
+  std::int64_t MaxNewRuns(const WaitingUnit& waiting) const;
   void ScheduleTasks(WaitingUnit& waiting, Pass& pass);
   bool ScheduleUnit(WaitingUnit& waiting, Pass& pass);
   bool ScheduleByLocality(WaitingUnit& waiting, Pass& pass);
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -161,6 +161,23 @@
   pass.reserved[submission.service] = reserved;
 }
 
+// A wide urgent step whose objective leaves time for several waves takes no
+// larger share of the capacity at once than the objective assumes: no other job
+// may preempt its tasks, so urgent jobs that arrive meanwhile could not start
+// until these end. A guaranteed job has to start all of its tasks within a time
+// limit.
+std::int64_t JobPlanner::MaxNewRuns(const WaitingUnit& waiting) const {
+  const StepSpec& spec = waiting.unit.Spec();
+  if (waiting.unit.submission->priority > 0 || waiting.guaranteed ||
+      spec.long_running || waiting.slack_ms <= spec.estimate_ms) {
+    return std::numeric_limits<std::int64_t>::max();
+  }
+  const auto& step = waiting.job->occurrences[waiting.unit.occurrence]
+                         .steps[waiting.unit.step];
+  return this->objective.TasksAtOnce(spec) -
+         std::ranges::count_if(step.tasks, &TaskState::HoldsResources);
+}
+
 // When a task finds no worker, the tasks that have waited no longer find none
 // either.
 void JobPlanner::ScheduleTasks(WaitingUnit& waiting, Pass& pass) {
@@ -177,11 +194,19 @@
     return;
   }
   Instant failed_since = Instant::Never();
+  std::int64_t new_runs_left = this->MaxNewRuns(waiting);
   for (const std::uint32_t index : std::exchange(waiting.unit.tasks, {})) {
+    if (new_runs_left <= 0) {
+      return;
+    }
     waiting.unit.tasks = {index};
     waiting.runnable_since = waiting.Task(index).waiting_since;
-    if (waiting.runnable_since < failed_since &&
-        !this->ScheduleUnit(waiting, pass)) {
+    if (waiting.runnable_since >= failed_since) {
+      continue;
+    }
+    if (this->ScheduleUnit(waiting, pass)) {
+      --new_runs_left;
+    } else {
       failed_since = waiting.runnable_since;
     }
   }
--- a/tests/workload/load_test.cc
+++ b/tests/workload/load_test.cc
@@ -69,6 +69,27 @@
   CHECK(simulation.LostCoreSeconds() < 0.05 * simulation.DoneCoreSeconds());
 }
 
+TEST_CASE("a wide job with time left does not keep others from starting") {
+  // Guards against a job that takes most of the cluster at once although its
+  // objective leaves time for several waves.
+  PlannerSimulation simulation(12, 4);
+  simulation.Submit(0, MakeStep(8, {30'000, 100'000, 8}, false, 20'000));
+  const JobId wide = simulation.Jobs().begin()->first;
+  for (int i = 0; i < 80; ++i) {
+    simulation.Submit(0, MakeStep(3, {15'000, 39'000, 8}, true, 2'000));
+    simulation.Advance(1'000);
+  }
+  for (const auto& [id, job] : simulation.Jobs()) {
+    CAPTURE(id.value);
+    // The goal is an urgent start within 1.9 s.
+    CHECK(job.started_after_ms >= 0);
+    CHECK(job.started_after_ms <= 1'900);
+  }
+  // The objective: 1.5 times three waves of the estimate, and 250 ms.
+  CHECK(simulation.Jobs().at(wide).completed_after_ms > 0);
+  CHECK(simulation.Jobs().at(wide).completed_after_ms <= 90'250);
+}
+
 TEST_CASE("a wide gang completes in time beside single tasks beyond capacity") {
   // Guards against a gang that never starts, because single tasks take each
   // part of a worker as soon as it is free.
