--- a/tests/workload/load_test.cc
+++ b/tests/workload/load_test.cc
@@ -79,11 +79,11 @@
     simulation.Submit(0, MakeStep(3, {15'000, 39'000, 8}, true, 2'000));
     simulation.Advance(1'000);
   }
-  for (const auto& [id, job] : simulation.Jobs()) {
-    CAPTURE(id.value);
+  for (const auto& entry : simulation.Jobs()) {
+    CAPTURE(entry.first.value);
     // The goal is an urgent start within 1.9 s.
-    CHECK(job.started_after_ms >= 0);
-    CHECK(job.started_after_ms <= 1'900);
+    CHECK(entry.second.started_after_ms >= 0);
+    CHECK(entry.second.started_after_ms <= 1'900);
   }
   // The objective: 1.5 times three waves of the estimate, and 250 ms.
   CHECK(simulation.Jobs().at(wide).completed_after_ms > 0);
