Tell a crash of a worker from its departure and from an expired lease

Change: an agent reports the runs of a worker whose process ended without having left or drained as 'worker_crashed', if they may have been executing, and names the incarnation that crashed last. A planner that learns of the new incarnation first ends its runs in the same way. An expired lease stays 'worker_lost': a silent worker is not a crashed one, nor is one whose agent died with it. No decision depends on it yet. An older planner reads the new value as 'worker_lost'.

Tests: two of the agent with a fake worker, one of the run table.

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -425,7 +425,7 @@
     }
     const auto end = static_cast<workload::RunEnd>(
         std::min(ended.end(),
-                 static_cast<std::uint32_t>(workload::RunEnd::kWorkerLost)));
+                 static_cast<std::uint32_t>(workload::RunEnd::kWorkerCrashed)));
     this->planner.ApplyRunReport(
         agent,
         {rpc::FromProto(ended.task()), ended.run(), end, ended.checkpoint()},
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -37,6 +37,10 @@
   description.labels.insert(reply.labels().begin(), reply.labels().end());
   description.capacity = {reply.cpu_millis(), reply.memory_mb(),
                           reply.accelerators()};
+  if (!reply.crashed_worker().id().empty()) {
+    description.last_crashed = {agent, WorkerId(reply.crashed_worker().id()),
+                                reply.crashed_worker().born_unix_ms()};
+  }
   return description;
 }
 
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -202,13 +202,17 @@
   this->unexpected = std::move(remaining);
 }
 
-void RunTable::OnWorkerGone() {
+void RunTable::OnWorkerGone(WorkerExit exit) {
+  for (auto& [key, state] : this->desired_runs) {
+    const bool executing = (state.start_sent || state.desired.started) &&
+                           !Contains(this->ended, key);
+    this->MarkEnded(state, exit == WorkerExit::kCrash && executing
+                               ? RunEnd::kWorkerCrashed
+                               : RunEnd::kWorkerLost);
+  }
   this->running.clear();
   this->ended.clear();
   this->unexpected.clear();
-  for (auto& [key, state] : this->desired_runs) {
-    this->MarkEnded(state, RunEnd::kWorkerLost);
-  }
   ++this->version;
 }
 
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "packages/core/name_table.h"
 #include "packages/core/time.h"
 #include "packages/worker_agent/worker_port.h"
 
@@ -34,6 +35,14 @@
   RunTraits traits;
 };
 
+/// How a worker's process ended.
+enum class WorkerExit { kShutdown, kCrash };
+
+constexpr auto NamesOf(WorkerExit) {
+  return MakeNameTable<WorkerExit>(
+      {{WorkerExit::kShutdown, "shutdown"}, {WorkerExit::kCrash, "crash"}});
+}
+
 /// Identifies one run.
 using RunKey = std::pair<workload::TaskKey, std::uint32_t>;
 
@@ -81,8 +90,9 @@
   /// Handles the worker's lists. `sent` is when they were requested.
   void OnLists(const LeaseReply& reply, Instant sent, Instant now);
 
-  /// Marks all runs as lost because the worker's process has exited.
-  void OnWorkerGone();
+  /// Ends all runs because the worker's process has exited. After a crash, the
+  /// runs that may have been executing count as crashed, the others as lost.
+  void OnWorkerGone(WorkerExit exit);
 
   /// Returns the traits of a requested run, or default traits for any other
   /// run.
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -81,6 +81,9 @@
       return;
     }
     const bool new_incarnation = life != this->description.incarnation;
+    if (new_incarnation && !this->description.incarnation.id.empty()) {
+      this->EndIncarnation("a new incarnation reports", this->ExitKind());
+    }
     const bool changed =
         new_incarnation ||
         heartbeat.description.availability != this->description.availability;
@@ -103,7 +106,7 @@
   /// Handles a planned shutdown of the worker.
   void OnWorkerShutdown(const WorkerId& worker) {
     if (worker == this->description.incarnation.id) {
-      this->EndIncarnation("left");
+      this->EndIncarnation("left", WorkerExit::kShutdown);
     }
   }
 
@@ -148,6 +151,11 @@
            workload::WorkerAvailability::kDraining;
   }
 
+  /// A worker that is draining may end at any time.
+  WorkerExit ExitKind() const {
+    return this->Draining() ? WorkerExit::kShutdown : WorkerExit::kCrash;
+  }
+
   void ApplyRequest(const rpc::ExchangeRequest& request) {
     this->lease_limit = std::max(this->lease_limit,
                                  Instant{request.authority_until_agent_ms()});
@@ -201,6 +209,11 @@
     reply.set_cpu_millis(description.capacity.cpu_millis);
     reply.set_memory_mb(description.capacity.memory_mb);
     reply.set_accelerators(description.capacity.accelerators);
+    if (!this->last_crashed.id.empty()) {
+      reply.mutable_crashed_worker()->set_id(this->last_crashed.id.value);
+      reply.mutable_crashed_worker()->set_born_unix_ms(
+          this->last_crashed.born_ms);
+    }
     reply.set_running_age_ms(BootClock{}.Now().ms - this->lists_read_at.ms);
     for (const ListedRun& run : this->runs.Running()) {
       auto* message = reply.add_running();
@@ -340,7 +353,7 @@
     if (result == OrderResult::kFenced) {
       this->fence += kFenceStep;
     } else if (result == OrderResult::kOtherIncarnation) {
-      this->EndIncarnation("another incarnation answered");
+      this->EndIncarnation("another incarnation answered", this->ExitKind());
       return;
     }
     this->task.PostAt(
@@ -422,7 +435,7 @@
     }
     this->refusals = 0;
     if (reply.born_ms != 0 && reply.born_ms != life.born_ms) {
-      this->EndIncarnation("the worker restarted");
+      this->EndIncarnation("the worker restarted", this->ExitKind());
       this->ScheduleLeaseCall(this->settings.retry_delay_ms);
       return;
     }
@@ -455,7 +468,7 @@
         result == OrderResult::kOtherIncarnation) {
       this->OnOrderResult(result);
     } else if (this->refusals >= this->settings.max_refused_connections) {
-      this->EndIncarnation("connections refused");
+      this->EndIncarnation("connections refused", this->ExitKind());
     }
     this->ScheduleLeaseCall(this->settings.retry_delay_ms);
   }
@@ -474,17 +487,21 @@
 
   // The runs of an incarnation that has ended are reported as lost until the
   // planner no longer requests them.
-  void EndIncarnation(std::string_view reason) {
+  void EndIncarnation(std::string_view reason, WorkerExit exit) {
     if (std::exchange(this->exited, true)) {
       return;
     }
     Log(LogLevel::kWarning, "worker_gone",
         {{"worker", this->description.incarnation.id.value},
          {"born_ms", std::to_string(this->description.incarnation.born_ms)},
-         {"reason", std::string(reason)}});
+         {"reason", std::string(reason)},
+         {"exit", std::string(NameOf(exit))}});
+    if (exit == WorkerExit::kCrash) {
+      this->last_crashed = this->description.incarnation;
+    }
     this->refusals = 0;
     this->description.availability = workload::WorkerAvailability::kAbsent;
-    this->runs.OnWorkerGone();
+    this->runs.OnWorkerGone(exit);
     this->Report();
   }
 
@@ -499,6 +516,8 @@
   /// process of this agent.
   std::uint64_t fence;
   workload::WorkerDescription description;
+  /// The incarnation that crashed last; empty for none.
+  workload::WorkerIncarnation last_crashed;
   std::uint64_t sequence = 0;
   /// The worker's lists have been read in this incarnation.
   bool lists_read = false;
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -64,8 +64,10 @@
   kGangIncomplete,
   /// The worker rejected the start order, so the run never started.
   kRefused,
-  /// The worker has restarted, or its lease has certainly expired.
+  /// The worker has left or restarted, or its lease has certainly expired.
   kWorkerLost,
+  /// The worker's process ended unexpectedly while its agent watched.
+  kWorkerCrashed,
 };
 
 constexpr auto NamesOf(RunEnd) {
@@ -76,7 +78,8 @@
                                 {RunEnd::kGangBroken, "gang_broken"},
                                 {RunEnd::kGangIncomplete, "gang_incomplete"},
                                 {RunEnd::kRefused, "refused"},
-                                {RunEnd::kWorkerLost, "worker_lost"}});
+                                {RunEnd::kWorkerLost, "worker_lost"},
+                                {RunEnd::kWorkerCrashed, "worker_crashed"}});
 }
 
 /// State of a job, as shown to clients.
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -239,8 +239,12 @@
   }
   for (const ActiveRun& run : lost) {
     const WorkerIncarnation incarnation = run.task->worker;
+    const auto known = this->workers.find(incarnation.agent);
+    const bool crashed = known != this->workers.end() &&
+                         known->second.description.last_crashed == incarnation;
+    const RunEnd end = crashed ? RunEnd::kWorkerCrashed : RunEnd::kWorkerLost;
     this->ApplyEnd(this->jobs.at(run.key.job), incarnation,
-                   {run.key, run.task->run, RunEnd::kWorkerLost, {}},
+                   {run.key, run.task->run, end, {}},
                    PlannerEventKind::kRunLost, time);
   }
 }
--- a/packages/workload/worker.h
+++ b/packages/workload/worker.h
@@ -32,6 +32,8 @@
   RackId rack;
   std::set<std::string> labels;
   Resources capacity;
+  /// The incarnation that crashed last while the agent watched; empty for none.
+  WorkerIncarnation last_crashed;
 
   bool operator==(const WorkerDescription&) const = default;
 };
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -107,11 +107,32 @@
   RunTable table({});
   table.SetDesired({MakeDesired(false, true)}, Instant{0});
   table.OnLists(MakeReply(true), Instant{0}, Instant{0});
-  table.OnWorkerGone();
+  table.OnWorkerGone(WorkerExit::kShutdown);
   REQUIRE(table.Ends().size() == 1);
   CHECK(table.Ends()[0].end == workload::RunEnd::kWorkerLost);
   CHECK(table.TakeDue(Instant{5'000}).starts.empty());
 }
 
+TEST_CASE("only runs that may have been executing count as crashed") {
+  const auto end_after_crash = [](bool take_start, bool ended) {
+    RunTable table({});
+    table.SetDesired({MakeDesired()}, Instant{0});
+    if (take_start) {
+      CHECK(table.TakeDue(Instant{0}).starts.size() == 1);
+    }
+    if (ended) {
+      table.OnLists(
+          MakeReply(false, {{1, kTask, 3, workload::RunEnd::kFailed, ""}}),
+          Instant{10}, Instant{10});
+    }
+    table.OnWorkerGone(WorkerExit::kCrash);
+    REQUIRE(table.Ends().size() == 1);
+    return table.Ends()[0].end;
+  };
+  CHECK(end_after_crash(true, false) == workload::RunEnd::kWorkerCrashed);
+  CHECK(end_after_crash(false, false) == workload::RunEnd::kWorkerLost);
+  CHECK(end_after_crash(true, true) == workload::RunEnd::kWorkerLost);
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
--- /dev/null
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -0,0 +1,137 @@
+#include "packages/worker_agent/worker_agent.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carobrill::worker_agent {
+namespace {
+
+using workload::WorkerAvailability;
+
+/// A worker that accepts every start and does not answer its lists again after
+/// it has ended.
+struct FakePort {
+  void Start(const StartOrder&,
+             Instant,
+             const std::function<void(StartReply)>& done) const {
+    done({OrderResult::kDone, 1});
+  }
+  void Stop(const StopOrder&,
+            Instant,
+            const std::function<void(OrderResult)>& done) const {
+    done(OrderResult::kDone);
+  }
+  void Throttle(const PaceOrder&,
+                Instant,
+                const std::function<void(OrderResult)>& done) const {
+    done(OrderResult::kDone);
+  }
+  void RenewLeases(const LeaseRequest&,
+                   Instant,
+                   const std::function<void(LeaseReply)>& done) {
+    if (!this->listed) {
+      this->listed = true;
+      LeaseReply reply;
+      reply.worker_clock_ms = 1;
+      done(reply);
+    }
+  }
+
+  /// The lists of the present incarnation have been returned.
+  bool listed = false;
+};
+
+constexpr std::int64_t kLeaseMs = 60'000;
+constexpr const char* kJobId = "0123456789abcdef";
+
+class AgentFixture {
+ public:
+  AgentFixture() : task("test") {
+    this->task.Run([this] {
+      this->agent = std::make_unique<WorkerAgent<FakePort>>(
+          this->task, this->port, 1, WorkerAgentSettings{}, this->metrics);
+    });
+  }
+  ~AgentFixture() {
+    this->task.Run([this] { this->agent.reset(); });
+  }
+
+  void Heartbeat(std::int64_t born_ms,
+                 WorkerAvailability availability,
+                 std::int64_t cpu_millis = 32'000) {
+    this->task.Run([&] {
+      WorkerHeartbeat heartbeat;
+      heartbeat.description.incarnation = {InstanceId("a"), WorkerId("w"),
+                                           born_ms};
+      heartbeat.description.availability = availability;
+      heartbeat.description.capacity = {cpu_millis, 128'000, 8};
+      heartbeat.sequence = ++this->sequence;
+      this->agent->OnHeartbeat(heartbeat);
+      this->agent->Start();
+    });
+    // The agent reads the lists on its task.
+    g_usleep(20'000);
+  }
+
+  /// Orders one run on the incarnation, and returns the agent's report.
+  rpc::ExchangeReply Order(std::int64_t born_ms) {
+    rpc::ExchangeRequest request;
+    request.mutable_worker()->set_id("w");
+    request.mutable_worker()->set_born_unix_ms(born_ms);
+    request.set_authority_until_agent_ms(BootClock{}.Now().ms + kLeaseMs);
+    auto* order = request.add_orders();
+    order->mutable_task()->set_job(kJobId);
+    order->set_run(1);
+    return this->Exchange(request);
+  }
+
+  rpc::ExchangeReply Exchange(rpc::ExchangeRequest request = {}) {
+    request.set_epoch(1);
+    request.set_sequence(++this->exchanges);
+    rpc::ExchangeReply result;
+    this->task.Run([&] {
+      this->agent->OnExchange(request,
+                              rpc::Responder<rpc::ExchangeReply>(
+                                  [&](std::optional<rpc::ExchangeReply> reply) {
+                                    result = reply.value();
+                                  }));
+    });
+    return result;
+  }
+
+  Task task;
+  FakePort port;
+  MetricsRegistry metrics;
+  std::unique_ptr<WorkerAgent<FakePort>> agent;
+  std::uint64_t sequence = 0;
+  std::uint64_t exchanges = 0;
+};
+
+TEST_CASE("a worker that restarts unannounced is reported as crashed") {
+  AgentFixture fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.listed = false;
+  fixture.Heartbeat(20, WorkerAvailability::kReady);
+  const auto reply = fixture.Exchange();
+  CHECK(reply.worker().born_unix_ms() == 20);
+  CHECK(reply.crashed_worker().id() == "w");
+  CHECK(reply.crashed_worker().born_unix_ms() == 10);
+}
+
+TEST_CASE("a worker that was draining before it ended has not crashed") {
+  AgentFixture fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.Heartbeat(10, WorkerAvailability::kDraining);
+  fixture.port.listed = false;
+  fixture.Heartbeat(20, WorkerAvailability::kReady);
+  CHECK(fixture.Exchange().crashed_worker().id().empty());
+}
+
+}  // namespace
+}  // namespace carobrill::worker_agent
