Give a task up after three workers have crashed under it

Cause: a run that ended with its worker counted for nothing. Only runs that the worker itself reports as failed had a limit (class of fault: a retry without a budget).

Change: the planner counts the workers that crashed under each task, stores the count with the job's progress before the next start, and fails the job at the third crash ('task_given_up'). Departures and expired leases do not count. For a long-running task a run of 30 s clears the count, because over months workers also crash under a sound task.

--- a/packages/cli/explain_command.cc
+++ b/packages/cli/explain_command.cc
@@ -23,8 +23,8 @@
 
 /// Messages that determine the outcome of a job, the most decisive first.
 constexpr const char* kOutcomeMessages[] = {
-    "job_ended", "run_lost",      "task_stalled", "task_preempted",
-    "run_ended", "call_answered", "task_assigned"};
+    "task_given_up",  "job_ended", "run_lost",      "task_stalled",
+    "task_preempted", "run_ended", "call_answered", "task_assigned"};
 
 // Lines may have a prefix before the JSON object, such as the name of the
 // process that wrote them.
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -106,6 +106,9 @@
   std::uint32_t run = 0;
   /// Number of runs that ended with kFailed.
   std::uint32_t failures = 0;
+  /// Number of runs under which the worker crashed. Starts anew when a
+  /// long-running task has worked for a while.
+  std::uint32_t worker_crashes = 0;
   /// Worker of the latest run while it is starting, running or stopping.
   WorkerIncarnation worker;
   std::string checkpoint;
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -11,6 +11,10 @@
 /// less than one percent.
 constexpr std::int64_t kStallPercentOfEstimate = 30;
 
+/// Time after which a run of a long-running task clears its earlier crashes:
+/// over months, workers also crash under a sound task.
+constexpr std::int64_t kStableRunMs = 30'000;
+
 /// Progress of a task that has finished its work.
 constexpr std::uint32_t kCompletePercent = 100;
 
@@ -132,6 +136,12 @@
       task->progress_at = read_at;
     }
     task->usage = seen.usage;
+    if (task->worker_crashes > 0 &&
+        job->second.SpecOf(seen.task).long_running &&
+        read_at >= task->ordered_at.After(kStableRunMs)) {
+      task->worker_crashes = 0;
+      this->MarkChanged(job->second);
+    }
     if (seen.checkpoint != task->checkpoint) {
       StoreCheckpoint(job->second, seen.task, seen.checkpoint);
     }
@@ -174,6 +184,12 @@
     this->UpdateWorkerHealth(worker->second, report, job, time.now);
   }
   if (!was_final && IsFinal(job.phase)) {
+    if (report.end == RunEnd::kWorkerCrashed) {
+      this->RecordEvent(PlannerEventKind::kTaskGivenUp, report.task, report.run,
+                        incarnation.id,
+                        std::to_string(kMaxWorkerCrashes) +
+                            " workers crashed under the task");
+    }
     this->RecordJobEnd(job, report.task, report.run, incarnation.id, time.wall);
   }
 }
--- a/packages/workload/job_transitions.cc
+++ b/packages/workload/job_transitions.cc
@@ -112,6 +112,13 @@
   if (spec.gang) {
     MarkStopping(step);
   }
+  if (report.end == RunEnd::kWorkerCrashed) {
+    ++task->worker_crashes;
+    if (task->worker_crashes >= kMaxWorkerCrashes && !IsFinal(job.phase)) {
+      FinishJob(job, JobPhase::kFailed, time);
+    }
+    return true;
+  }
   if (report.end != RunEnd::kFailed || spec.long_running) {
     return true;
   }
--- a/packages/workload/planner_event.h
+++ b/packages/workload/planner_event.h
@@ -21,6 +21,7 @@
   kWorkerAvoided,
   kJobEnded,
   kAdvised,
+  kTaskGivenUp,
 };
 
 constexpr auto NamesOf(PlannerEventKind) {
@@ -33,6 +34,7 @@
       {PlannerEventKind::kWorkerAvoided, "worker_avoided"},
       {PlannerEventKind::kJobEnded, "job_ended"},
       {PlannerEventKind::kAdvised, "workers_advised"},
+      {PlannerEventKind::kTaskGivenUp, "task_given_up"},
   });
 }
 
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -95,6 +95,7 @@
   task->phase = static_cast<TaskPhase>(stored.phase());
   task->run = stored.run();
   task->failures = stored.failures();
+  task->worker_crashes = stored.worker_crashes();
   task->checkpoint = stored.checkpoint();
   if (stored.worker() > 0) {
     const auto& worker = record.workers(static_cast<int>(stored.worker()) - 1);
@@ -193,6 +194,7 @@
         stored->set_phase(static_cast<std::uint32_t>(task.phase));
         stored->set_run(task.run);
         stored->set_failures(task.failures);
+        stored->set_worker_crashes(task.worker_crashes);
         if (task.phase != TaskPhase::kDone) {
           stored->set_checkpoint(task.checkpoint);
         }
--- a/tests/workload/planner_fixture.cc
+++ b/tests/workload/planner_fixture.cc
@@ -52,10 +52,18 @@
   description.rack = RackId("r" + std::to_string(worker / kWorkersPerRack));
   description.labels = {"kind", description.rack.value};
   description.capacity = {32'000, 128'000, 8};
+  description.last_crashed = this->last_crashed[worker];
   return this->planner.UpdateWorker(agent, description,
                                     this->now.After(kLeaseMs), this->Time());
 }
 
+void PlannerFixture::ReportCrash(std::uint32_t worker, std::int64_t born_ms) {
+  const std::string name = WorkerName(worker);
+  this->last_crashed[worker] = {InstanceId(name), WorkerId(name),
+                                this->start_times[worker]};
+  this->ReportWorker(worker, born_ms);
+}
+
 void PlannerFixture::MarkUnreachable(std::uint32_t worker) {
   this->planner.MarkWorkerUnreachable(InstanceId(WorkerName(worker)));
 }
--- a/tests/workload/planner_fixture.h
+++ b/tests/workload/planner_fixture.h
@@ -29,6 +29,10 @@
   /// Returns the result of JobPlanner::UpdateWorker().
   bool ReportWorker(std::uint32_t worker, std::int64_t born_ms = 1);
 
+  /// Reports the worker as ready in a new incarnation, after the earlier one
+  /// has crashed.
+  void ReportCrash(std::uint32_t worker, std::int64_t born_ms);
+
   /// Reports the worker as unreachable. Its lease expires 6 s after its last
   /// report.
   void MarkUnreachable(std::uint32_t worker);
@@ -51,6 +55,7 @@
  private:
   std::uint32_t workers;
   std::map<std::uint32_t, std::int64_t> start_times;
+  std::map<std::uint32_t, WorkerIncarnation> last_crashed;
 };
 
 }  // namespace carobrill::workload
--- /dev/null
+++ b/tests/workload/worker_crash_test.cc
@@ -0,0 +1,112 @@
+#include <doctest/doctest.h>
+
+#include "packages/workload/record_codec.h"
+#include "tests/workload/planner_fixture.h"
+
+// Tasks under which workers crash.
+
+namespace carobrill::workload {
+namespace {
+
+const TaskKey kTask{JobId("j"), 0, 0, 0};
+
+JobPhase PhaseOf(const JobPlanner& planner) {
+  return planner.Jobs().at(JobId("j")).phase;
+}
+
+TEST_CASE("a task is given up after three workers have crashed under it") {
+  // Guards against a task that crashes one worker after the other.
+  PlannerFixture fixture(4);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  std::uint32_t starts = 0;
+  for (int i = 0; i < 10; ++i) {
+    fixture.Plan();
+    starts += fixture.ActiveTasks().contains(kTask) ? 1 : 0;
+    fixture.EndRun(kTask, RunEnd::kWorkerCrashed);
+    fixture.now.ms += 5'000;
+    for (std::uint32_t worker = 0; worker < 4; ++worker) {
+      fixture.ReportWorker(worker);
+    }
+  }
+  CHECK(starts == 3);
+  CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
+}
+
+TEST_CASE("a new planner continues the count of crashed workers") {
+  // Guards against a task that is started anew after each change of planner.
+  PlannerFixture first(2);
+  first.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  for (int i = 0; i < 2; ++i) {
+    first.Plan();
+    first.EndRun(kTask, RunEnd::kWorkerCrashed);
+    first.now.ms += 5'000;
+    first.ReportWorker(0);
+    first.ReportWorker(1);
+  }
+  const Job& job = first.planner.Jobs().at(JobId("j"));
+  Job copy = Job::Of(job.submission);
+  REQUIRE(DecodeProgress(EncodeProgress(job), copy));
+  PlannerFixture second(2);
+  second.planner.Load(std::move(copy), second.now);
+  second.Plan();
+  REQUIRE(second.ActiveTasks().contains(kTask));
+  second.EndRun(kTask, RunEnd::kWorkerCrashed);
+  CHECK(PhaseOf(second.planner) == JobPhase::kFailed);
+}
+
+TEST_CASE("a crash that a planner infers from a new incarnation is counted") {
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  for (std::int64_t born_ms = 2; born_ms < 5; ++born_ms) {
+    fixture.Plan();
+    REQUIRE(fixture.ActiveTasks().contains(kTask));
+    fixture.now.ms += 5'000;
+    fixture.ReportCrash(0, born_ms);
+  }
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().empty());
+  CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
+}
+
+TEST_CASE("a task is not given up because workers left or were cut off") {
+  // Guards against a job that fails because its workers were lost without a
+  // crash.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  for (int i = 0; i < 10; ++i) {
+    fixture.Plan();
+    REQUIRE(fixture.ActiveTasks().contains(kTask));
+    fixture.EndRun(kTask, RunEnd::kWorkerLost);
+  }
+  CHECK(!IsFinal(PhaseOf(fixture.planner)));
+}
+
+TEST_CASE("crashes far apart do not end a task that runs until cancelled") {
+  // Guards against a service that fails after three unrelated crashes in
+  // months.
+  PlannerFixture fixture(1);
+  StepSpec step = MakeStep(1, {1'000, 1'000, 1});
+  step.long_running = true;
+  fixture.planner.Submit(MakeJob("j", step));
+  for (int i = 0; i < 5; ++i) {
+    fixture.Plan();
+    REQUIRE(fixture.ActiveTasks().contains(kTask));
+    fixture.now.ms += 60'000;
+    fixture.ReportWorker(0);
+    fixture.Plan();
+    fixture.EndRun(kTask, RunEnd::kWorkerCrashed);
+    fixture.now.ms += 5'000;
+    fixture.ReportWorker(0);
+  }
+  CHECK(!IsFinal(PhaseOf(fixture.planner)));
+  for (int i = 0; i < 3; ++i) {
+    fixture.Plan();
+    fixture.EndRun(kTask, RunEnd::kWorkerCrashed);
+    fixture.now.ms += 5'000;
+    fixture.ReportWorker(0);
+  }
+  CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
+}
+
+}  // namespace
+}  // namespace carobrill::workload
