Send a request to at most three endpoints that do not answer

The retry budget belongs to a service, so one request that ends the endpoint that runs it could use all of it.

Change: a request fails after its third lost attempt. Refused attempts do not count, because they have not run. Requests that may not be repeated are not concerned: they are sent again only if they certainly did not run.

--- a/packages/requests/request_dispatcher_attempts.cc
+++ b/packages/requests/request_dispatcher_attempts.cc
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Attempts of one request that may be lost. The request itself may be what
+/// ends the endpoints that run it.
+constexpr std::uint32_t kMaxLostAttempts = 3;
+
 QueueItem MakeQueueItem(const PendingRequest& pending) {
   return QueueItem{pending.id,
                    pending.request.service,
@@ -381,10 +385,12 @@
     return;
   }
   pending->ran = Combine(pending->ran, ran);
+  ++pending->lost_attempts;
   if (pending->outstanding > 0) {
     return;
   }
-  if (this->retry_budget.TryConsume()) {
+  if (pending->lost_attempts < kMaxLostAttempts &&
+      this->retry_budget.TryConsume()) {
     ++this->counters.retries;
     this->Enqueue(pending->id, now);
   } else {
--- a/packages/requests/request_table.h
+++ b/packages/requests/request_table.h
@@ -59,6 +59,8 @@
   Ran ran = Ran::kNo;
   /// Attempts without a reply yet.
   std::uint32_t outstanding = 0;
+  /// Attempts that ended without a usable answer.
+  std::uint32_t lost_attempts = 0;
   /// Endpoint of the last attempt; the next one avoids it if possible.
   EndpointId last_endpoint;
 
--- a/tests/requests/request_dispatcher_test.cc
+++ b/tests/requests/request_dispatcher_test.cc
@@ -368,6 +368,25 @@
   CHECK(fixture.answers.size() == 500);
 }
 
+// Guards against one request that takes down one endpoint after the other.
+TEST_CASE("a request is sent to at most three endpoints that do not answer") {
+  DispatcherFixture fixture;
+  for (CallId call = 1; call <= 20; ++call) {
+    fixture.Submit(DispatcherFixture::MakeRequest(call, ""));
+    fixture.ReplyToAttempt(fixture.sends.back(), rpc::RAN_YES);
+  }
+  const std::size_t before = fixture.sends.size();
+  fixture.Submit(DispatcherFixture::MakeRequest(100, ""));
+  for (std::size_t lost = before; lost < fixture.sends.size(); ++lost) {
+    fixture.CollectActions(fixture.dispatcher.OnExecuteFailed(
+        fixture.sends[lost].attempt, fixture.now));
+  }
+  CHECK(fixture.sends.size() == before + 3);
+  CHECK(fixture.answers.back().answer.error == RequestError::kEndpointFailed);
+  CHECK(fixture.answers.back().answer.ran == Ran::kUnknown);
+  CHECK(fixture.dispatcher.Idle());
+}
+
 // Guards against a graceful shutdown that interrupts accepted requests.
 TEST_CASE("a draining dispatcher finishes what it has accepted") {
   DispatcherFixture fixture;
