Keep tasks under which a worker has crashed apart from each other

What callers would see: jobs that run beside a task that crashes its workers fail with it. After a crash all tasks of the worker wait at the same time, are the same best fit and start together on the next worker, so that after three crashes each of them has the count at which a task is given up.

Change: a task under which a worker has crashed is a suspect. Suspects of different jobs share no worker for 2 s after their start, others avoid their worker meanwhile, and an idle worker is preferred. The last attempt waits up to 2 s for an idle worker, has it to itself until its end, and preempts no work. The decision is in crash_isolation; it answers loads in which a few tasks crash every worker.

--- a/packages/workload/capacity_map.cc
+++ b/packages/workload/capacity_map.cc
@@ -1,6 +1,7 @@
 #include "packages/workload/capacity_map.h"
 
 #include "packages/core/hash.h"
+#include "packages/workload/crash_isolation.h"
 
 namespace carobrill::workload {
 
@@ -42,6 +43,10 @@
       }
       const Resources demand = run.spec->PlacementDemand();
       this->Reserve(this->entries.size() - 1, demand);
+      if (IsOnProbation(*run.task, now)) {
+        this->MarkSuspect(this->entries.size() - 1, run.job->submission.id,
+                          run.task->worker_crashes);
+      }
       if (run.task->phase == TaskPhase::kStopping) {
         this->MarkReleasing(this->entries.size() - 1, demand);
         continue;
@@ -96,6 +101,16 @@
 void CapacityMap::Reserve(std::size_t index, const Resources& demand) {
   this->entries[index].free -= demand;
   this->entries[index].future_free -= demand;
+  this->entries[index].occupied = true;
+}
+
+void CapacityMap::MarkSuspect(std::size_t index,
+                              const JobId& job,
+                              std::uint32_t worker_crashes) {
+  WorkerCapacity& entry = this->entries[index];
+  entry.suspect_job = &job;
+  entry.avoided = true;
+  entry.exclusive = entry.exclusive || IsLastAttempt(worker_crashes);
 }
 
 void CapacityMap::MarkReleasing(std::size_t index, const Resources& demand) {
--- a/packages/workload/capacity_map.h
+++ b/packages/workload/capacity_map.h
@@ -27,6 +27,12 @@
   bool avoided = false;
   /// Held for urgent jobs.
   bool headroom = false;
+  /// Tasks hold or have reserved resources.
+  bool occupied = false;
+  /// Job of a task that is on probation here (IsOnProbation()); null for none.
+  const JobId* suspect_job = nullptr;
+  /// Taken by the last attempt of the job of `suspect_job` alone.
+  bool exclusive = false;
 };
 
 /// Capacity of all ready workers of one service, and its use.
@@ -67,6 +73,14 @@
   /// later task takes the already free part of what a waiting task needs.
   void Reserve(std::size_t index, const Resources& demand);
 
+  /// Records that a task of `job`, under which `worker_crashes` workers have
+  /// crashed, is on probation on a worker. Other jobs avoid the worker
+  /// meanwhile, or do not use it at all during a last attempt. `job` must
+  /// outlive the map.
+  void MarkSuspect(std::size_t index,
+                   const JobId& job,
+                   std::uint32_t worker_crashes);
+
   /// Adds `demand` of a task that is being stopped to `future_free`.
   void MarkReleasing(std::size_t index, const Resources& demand);
 
--- /dev/null
+++ b/packages/workload/crash_isolation.cc
@@ -0,0 +1,45 @@
+#include "packages/workload/crash_isolation.h"
+
+#include <algorithm>
+
+#include "packages/workload/job_transitions.h"
+
+namespace carobrill::workload {
+namespace {
+
+/// Time in which a task that crashes its worker at the start does so and the
+/// agent has noticed it.
+constexpr std::int64_t kProbationMs = 2'000;
+
+/// The platform counts a job as lost that waits for 3 s beside free capacity.
+constexpr std::int64_t kMaxIsolationWaitMs = 2'000;
+
+}  // namespace
+
+bool IsOnProbation(const TaskState& task, Instant now) {
+  return task.worker_crashes > 0 &&
+         (now < task.ordered_at.After(kProbationMs) ||
+          IsLastAttempt(task.worker_crashes));
+}
+
+std::uint32_t CountWorkerCrashes(const StepState& step,
+                                 const PlacementUnit& unit) {
+  std::uint32_t most = 0;
+  for (const std::uint32_t index : unit.tasks) {
+    most = std::max(most, step.tasks[index].worker_crashes);
+  }
+  return most;
+}
+
+bool IsLastAttempt(std::uint32_t worker_crashes) {
+  return worker_crashes + 1 >= kMaxWorkerCrashes;
+}
+
+bool MustWaitForIdleWorker(const PlacementUnit& unit,
+                           Instant runnable_since,
+                           Instant now) {
+  return IsLastAttempt(unit.worker_crashes) &&
+         now < runnable_since.After(kMaxIsolationWaitMs);
+}
+
+}  // namespace carobrill::workload
--- /dev/null
+++ b/packages/workload/crash_isolation.h
@@ -0,0 +1,38 @@
+#ifndef PACKAGES_WORKLOAD_CRASH_ISOLATION_H_
+#define PACKAGES_WORKLOAD_CRASH_ISOLATION_H_
+
+#include <cstdint>
+
+#include "packages/core/time.h"
+#include "packages/workload/job.h"
+#include "packages/workload/placement.h"
+
+namespace carobrill::workload {
+
+/// Keeps suspects apart: tasks under which a worker has crashed. Answers loads
+/// in which a few tasks crash every worker that starts them, so that the tasks
+/// beside them are neither stopped nor given up with them.
+
+/// True when the latest run of the task is watched for a crash of its worker:
+/// for a while after its start, the last attempt until its end.
+bool IsOnProbation(const TaskState& task, Instant now);
+
+/// Returns the largest number of workers that have crashed under one task of
+/// the unit.
+std::uint32_t CountWorkerCrashes(const StepState& step,
+                                 const PlacementUnit& unit);
+
+/// True when a task under which this many workers have crashed is given up
+/// after the next crash. Its last attempt shares no worker with other jobs if
+/// possible, so that it is not given up for another task, and preempts no work.
+bool IsLastAttempt(std::uint32_t worker_crashes);
+
+/// True when the unit has to wait for an idle worker rather than share one.
+/// `runnable_since` (boot clock) is when it first lacked nothing but capacity.
+bool MustWaitForIdleWorker(const PlacementUnit& unit,
+                           Instant runnable_since,
+                           Instant now);
+
+}  // namespace carobrill::workload
+
+#endif  // PACKAGES_WORKLOAD_CRASH_ISOLATION_H_
--- a/packages/workload/failed_placements.cc
+++ b/packages/workload/failed_placements.cc
@@ -7,7 +7,8 @@
 // A unit that is restricted to fewer workers than other units with the same
 // demand may fail where they do not.
 bool FailedPlacements::Covers(const PlacementUnit& unit) {
-  return !unit.allowed_workers.has_value() && unit.Spec().max_per_worker == 0;
+  return !unit.allowed_workers.has_value() && unit.Spec().max_per_worker == 0 &&
+         unit.worker_crashes == 0;
 }
 
 FailedPlacements::Failure FailedPlacements::Describe(
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "packages/workload/crash_isolation.h"
 #include "packages/workload/job_objective.h"
 #include "packages/workload/job_planner.h"
 
@@ -213,6 +214,10 @@
 }
 
 bool JobPlanner::ScheduleUnit(WaitingUnit& waiting, Pass& pass) {
+  waiting.unit.worker_crashes =
+      CountWorkerCrashes(waiting.job->occurrences[waiting.unit.occurrence]
+                             .steps[waiting.unit.step],
+                         waiting.unit);
   if (waiting.unit.Spec().max_per_worker > 0) {
     // Includes tasks that were placed earlier in this pass.
     waiting.unit.tasks_by_worker.clear();
@@ -261,6 +266,19 @@
       now >= waiting.runnable_since.After(max_wait_ms) ||
       !FitsOnOneRack(waiting.unit, pass.map);
   const bool headroom = this->MayUseHeadroom(waiting, pass);
+  if (waiting.unit.worker_crashes > 0) {
+    for (const bool any_rack : {false, true}) {
+      if ((!any_rack || allow_any_rack) &&
+          this->TryPlace(waiting, pass,
+                         {CapacityKind::kFree, any_rack, true, headroom,
+                          /*idle_only=*/true})) {
+        return true;
+      }
+    }
+    if (MustWaitForIdleWorker(waiting.unit, waiting.runnable_since, now)) {
+      return false;
+    }
+  }
   const std::uint32_t searches_before = pass.preemption_searches;
   const PlacementConstraints preferred{CapacityKind::kFree, false, false,
                                        headroom};
@@ -270,7 +288,9 @@
       this->TryReserve(waiting, pass, preferred_future_free)) {
     return true;
   }
-  const bool needs_preemption = urgent && this->NeedsPreemption(waiting, now);
+  const bool needs_preemption = urgent &&
+                                !IsLastAttempt(waiting.unit.worker_crashes) &&
+                                this->NeedsPreemption(waiting, now);
   if (needs_preemption &&
       this->TryPreempt(waiting, pass, preferred_future_free)) {
     return true;
@@ -381,6 +401,10 @@
   this->AssignRuns(waiting, *workers, pass);
   for (const std::size_t worker : *workers) {
     pass.map.Reserve(worker, waiting.unit.Spec().PlacementDemand());
+    if (waiting.unit.worker_crashes > 0) {
+      pass.map.MarkSuspect(worker, waiting.unit.submission->id,
+                           waiting.unit.worker_crashes);
+    }
   }
   return true;
 }
--- a/packages/workload/placement.cc
+++ b/packages/workload/placement.cc
@@ -105,7 +105,14 @@
                 const WorkerCapacity& entry,
                 const PlacementConstraints& constraints) {
   if (!entry.schedulable || (entry.avoided && !constraints.allow_avoided) ||
-      (entry.headroom && !constraints.allow_headroom)) {
+      (entry.headroom && !constraints.allow_headroom) ||
+      (entry.occupied && constraints.idle_only)) {
+    return false;
+  }
+  // If the worker crashes, it must be known which of the jobs did it.
+  if (entry.suspect_job != nullptr &&
+      (unit.worker_crashes > 0 || entry.exclusive) &&
+      *entry.suspect_job != unit.submission->id) {
     return false;
   }
   const StepSpec& spec = unit.Spec();
--- a/packages/workload/placement.h
+++ b/packages/workload/placement.h
@@ -24,6 +24,8 @@
   std::map<WorkerIncarnation, std::uint32_t> tasks_by_worker;
   /// Workers that the queue's external policy allows; unset without a policy.
   std::optional<std::set<WorkerIncarnation>> allowed_workers;
+  /// Largest number of workers that have crashed under one of the tasks.
+  std::uint32_t worker_crashes = 0;
 
   const StepSpec& Spec() const { return this->submission->spec.steps[step]; }
 };
@@ -40,6 +42,8 @@
   bool allow_avoided = false;
   /// Allow workers that are held for urgent jobs.
   bool allow_headroom = false;
+  /// Allow only workers on which no task holds or reserves resources.
+  bool idle_only = false;
 
   bool operator==(const PlacementConstraints&) const = default;
 };
--- a/tests/workload/planner_simulation.cc
+++ b/tests/workload/planner_simulation.cc
@@ -1,5 +1,6 @@
 #include "tests/workload/planner_simulation.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -9,6 +10,8 @@
 constexpr std::int64_t kStepMs = 20;
 constexpr std::int64_t kStopMs = 200;
 constexpr std::int64_t kLeaseMs = 600'000;
+constexpr std::int64_t kRestartMs = 3'000;
+constexpr std::uint32_t kFirstWorkerName = 100;
 constexpr double kMsPerSecond = 1'000;
 
 }  // namespace
@@ -18,24 +21,68 @@
     : workers(workers),
       workers_per_rack(workers_per_rack),
       planner(JobPlannerSettings{}) {
-  this->ReportWorkers();
+  for (std::uint32_t i = 0; i < this->workers; ++i) {
+    this->born_ms[i] = 1;
+    this->ReportWorker(i);
+  }
+}
+
+void PlannerSimulation::ReportWorker(std::uint32_t worker) {
+  const InstanceId agent("agent-" + std::to_string(kFirstWorkerName + worker));
+  WorkerDescription description;
+  description.incarnation = {agent, WorkerId(agent.value),
+                             this->born_ms[worker]};
+  description.availability = this->down_until.contains(worker)
+                                 ? WorkerAvailability::kAbsent
+                                 : WorkerAvailability::kReady;
+  description.service = ServiceId("s");
+  description.rack =
+      RackId("r" + std::to_string(worker / this->workers_per_rack));
+  description.capacity = {32'000, 131'072, 8};
+  this->planner.UpdateWorker(agent, description, this->now.After(kLeaseMs),
+                             this->Time());
 }
 
-void PlannerSimulation::ReportWorkers() {
+void PlannerSimulation::RestartWorkers() {
   for (std::uint32_t i = 0; i < this->workers; ++i) {
-    const InstanceId agent("agent-" + std::to_string(100 + i));
-    WorkerDescription description;
-    description.incarnation = {agent, WorkerId(agent.value), 1};
-    description.availability = WorkerAvailability::kReady;
-    description.service = ServiceId("s");
-    description.rack = RackId("r" + std::to_string(i / this->workers_per_rack));
-    description.capacity = {32'000, 131'072, 8};
-    this->planner.UpdateWorker(agent, description, this->now.After(kLeaseMs),
-                               this->Time());
+    const auto down = this->down_until.find(i);
+    if (down != this->down_until.end() && this->now >= down->second) {
+      this->down_until.erase(down);
+      this->born_ms[i] = this->now.ms;
+      this->ReportWorker(i);
+    }
+  }
+}
+
+// Returns true when the worker has crashed.
+bool PlannerSimulation::CrashWorker(const InstanceId& agent,
+                                    const std::vector<TaskOrder>& orders) {
+  const bool crashes = std::ranges::any_of(orders, [&](const auto& order) {
+    return !order.stop && this->crashing_jobs.contains(order.task.job);
+  });
+  if (!crashes) {
+    return false;
   }
+  const auto worker = static_cast<std::uint32_t>(
+      std::stoul(agent.value.substr(agent.value.find('-') + 1)) -
+      kFirstWorkerName);
+  ++this->crashes;
+  this->down_until[worker] = this->now.After(kRestartMs);
+  this->ReportWorker(worker);
+  for (const TaskOrder& order : orders) {
+    this->EndRun(agent, order, RunEnd::kWorkerCrashed);
+  }
+  return true;
 }
 
-void PlannerSimulation::Submit(std::uint32_t priority, const StepSpec& step) {
+JobId PlannerSimulation::SubmitCrashing(std::uint32_t priority,
+                                        const StepSpec& step) {
+  JobId id = this->Submit(priority, step);
+  this->crashing_jobs.insert(id);
+  return id;
+}
+
+JobId PlannerSimulation::Submit(std::uint32_t priority, const StepSpec& step) {
   Submission submission;
   submission.id = JobId("job-" + std::to_string(1'000 + this->jobs.size()));
   submission.account = AccountId("a");
@@ -46,8 +93,10 @@
   submission.objective_slack_ms = priority == 0 ? 250 : 1'000;
   submission.accepted_at = this->now;
   submission.spec.steps = {step};
-  this->jobs[submission.id].priority = priority;
+  JobId id = submission.id;
+  this->jobs[id].priority = priority;
   this->planner.Submit(std::move(submission));
+  return id;
 }
 
 void PlannerSimulation::Advance(std::int64_t duration_ms) {
@@ -59,11 +108,15 @@
 }
 
 void PlannerSimulation::PlayStep() {
+  this->RestartWorkers();
   this->planner.Plan(this->Time());
   const std::uint64_t commit = this->planner.NextCommit();
   this->planner.TakeChanges();
   this->planner.TakeEvents();
   for (const auto& [agent, orders] : this->planner.Orders(commit)) {
+    if (this->CrashWorker(agent, orders)) {
+      continue;
+    }
     for (const TaskOrder& order : orders) {
       this->PlayOrder(agent, order);
     }
@@ -118,6 +171,9 @@
     if (observed.completed_after_ms < 0 && job.phase == JobPhase::kCompleted) {
       observed.completed_after_ms = age_ms;
     }
+    if (observed.failed_after_ms < 0 && job.phase == JobPhase::kFailed) {
+      observed.failed_after_ms = age_ms;
+    }
   }
 }
 
--- a/tests/workload/planner_simulation.h
+++ b/tests/workload/planner_simulation.h
@@ -2,8 +2,10 @@
 #define TESTS_WORKLOAD_PLANNER_SIMULATION_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "packages/workload/job_planner.h"
 
@@ -15,11 +17,12 @@
   std::uint32_t priority = 0;
   std::int64_t started_after_ms = -1;
   std::int64_t completed_after_ms = -1;
+  std::int64_t failed_after_ms = -1;
 };
 
 /// Plays a load against a planner in steps of 20 ms: runs start, work for the
 /// estimated time of their step and end; stopped runs hold their resources for
-/// another 200 ms and lose their work.
+/// another 200 ms and lose their work. A worker that crashes is back after 3 s.
 class PlannerSimulation {
  public:
   PlannerSimulation(std::uint32_t workers, std::uint32_t workers_per_rack);
@@ -28,7 +31,10 @@
   Instant Now() const { return this->now; }
 
   /// Submits a job of one step.
-  void Submit(std::uint32_t priority, const StepSpec& step);
+  JobId Submit(std::uint32_t priority, const StepSpec& step);
+
+  /// Submits a job of one step, each run of which crashes its worker.
+  JobId SubmitCrashing(std::uint32_t priority, const StepSpec& step);
 
   /// Plays `duration_ms`.
   void Advance(std::int64_t duration_ms);
@@ -39,10 +45,16 @@
   double DoneCoreSeconds() const { return this->done_core_s; }
   double LostCoreSeconds() const { return this->lost_core_s; }
 
+  /// Number of crashes of workers.
+  std::uint32_t Crashes() const { return this->crashes; }
+
  private:
   using RunKey = std::tuple<TaskKey, std::uint32_t>;
 
-  void ReportWorkers();
+  void ReportWorker(std::uint32_t worker);
+  void RestartWorkers();
+  bool CrashWorker(const InstanceId& agent,
+                   const std::vector<TaskOrder>& orders);
   void PlayStep();
   void PlayOrder(const InstanceId& agent, const TaskOrder& order);
   void EndRun(const InstanceId& agent, const TaskOrder& order, RunEnd end);
@@ -58,6 +70,11 @@
   /// When each run began, and when each stop was first ordered.
   std::map<RunKey, Instant> began_at;
   std::map<RunKey, Instant> stop_ordered_at;
+  std::set<JobId> crashing_jobs;
+  /// When each crashed worker is back, and the start time of each worker.
+  std::map<std::uint32_t, Instant> down_until;
+  std::map<std::uint32_t, std::int64_t> born_ms;
+  std::uint32_t crashes = 0;
   double done_core_s = 0;
   double lost_core_s = 0;
 };
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <vector>
+
 #include "packages/workload/record_codec.h"
 #include "tests/workload/planner_fixture.h"
+#include "tests/workload/planner_simulation.h"
 
 // Tasks under which workers crash.
 
@@ -10,6 +13,12 @@
 
 const TaskKey kTask{JobId("j"), 0, 0, 0};
 
+StepSpec MakeLoadStep(std::int64_t estimate_ms) {
+  StepSpec step = MakeStep(1, {3'000, 8'000, 1});
+  step.estimate_ms = estimate_ms;
+  return step;
+}
+
 JobPhase PhaseOf(const JobPlanner& planner) {
   return planner.Jobs().at(JobId("j")).phase;
 }
@@ -108,5 +117,38 @@
   CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
 }
 
+TEST_CASE("jobs beside tasks that crash their workers do not fail") {
+  // Guards against tasks that are placed together again after a crash, so that
+  // those beside the faulty one are given up with it.
+  PlannerSimulation simulation(12, 4);
+  const StepSpec sound = MakeLoadStep(6'000);
+  const StepSpec faulty = MakeLoadStep(5'000);
+  std::vector<JobId> faulty_jobs;
+  for (int second = 0; second < 60; ++second) {
+    for (int i = 0; i < 4; ++i) {
+      simulation.Submit(1, sound);
+      simulation.Advance(250);
+    }
+    if (second % 6 == 0) {
+      faulty_jobs.push_back(simulation.SubmitCrashing(1, faulty));
+    }
+  }
+  simulation.Advance(30'000);
+  std::size_t failed = 0;
+  std::size_t on_time = 0;
+  for (const auto& [id, job] : simulation.Jobs()) {
+    failed += job.failed_after_ms >= 0 ? 1 : 0;
+    // The objective: three times the estimate, and 1 s.
+    on_time += job.completed_after_ms >= 0 && job.completed_after_ms <= 19'000;
+  }
+  CHECK(failed == faulty_jobs.size());
+  CHECK(on_time == simulation.Jobs().size() - faulty_jobs.size());
+  for (const JobId& id : faulty_jobs) {
+    CHECK(simulation.Jobs().at(id).failed_after_ms >= 0);
+  }
+  CHECK(simulation.Crashes() <= kMaxWorkerCrashes * faulty_jobs.size());
+  MESSAGE(simulation.Crashes() << " crashes");
+}
+
 }  // namespace
 }  // namespace carobrill::workload
