Report a change of a worker's capacity to the planner at once

Cause: an agent reported a new state of its worker at once, but a new capacity only when the waiting exchange ended, up to 1.8 s later or, at size, half a lease.

Change: any change in the worker's description is reported, and logged with the capacity.

Evidence: the new test of the agent failed before.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -84,9 +84,7 @@
     if (new_incarnation && !this->description.incarnation.id.empty()) {
       this->EndIncarnation("a new incarnation reports", this->ExitKind());
     }
-    const bool changed =
-        new_incarnation ||
-        heartbeat.description.availability != this->description.availability;
+    const bool changed = heartbeat.description != this->description;
     this->description = heartbeat.description;
     this->sequence = heartbeat.sequence;
     if (new_incarnation) {
@@ -96,7 +94,12 @@
       Log(LogLevel::kInfo, "worker_state",
           {{"worker", life.id.value},
            {"born_ms", std::to_string(life.born_ms)},
-           {"state", std::string(NameOf(this->description.availability))}});
+           {"state", std::string(NameOf(this->description.availability))},
+           {"cpu_millis",
+            std::to_string(this->description.capacity.cpu_millis)},
+           {"memory_mb", std::to_string(this->description.capacity.memory_mb)},
+           {"accelerators",
+            std::to_string(this->description.capacity.accelerators)}});
       this->runs.SetDraining(this->Draining());
       this->Report();
       this->SendDue();
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -133,5 +133,17 @@
   CHECK(fixture.Exchange().crashed_worker().id().empty());
 }
 
+TEST_CASE("a change of the worker's capacity is reported at once") {
+  // Guards against starts on a worker whose capacity has shrunk, until the
+  // waiting exchange ends.
+  AgentFixture fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  const auto before = fixture.Exchange();
+  fixture.Heartbeat(10, WorkerAvailability::kReady, /*cpu_millis=*/16'000);
+  const auto after = fixture.Exchange();
+  CHECK(after.report() > before.report());
+  CHECK(after.cpu_millis() == 16'000);
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
--- a/tests/workload/planner_fixture.cc
+++ b/tests/workload/planner_fixture.cc
@@ -51,7 +51,9 @@
   description.service = ServiceId("s");
   description.rack = RackId("r" + std::to_string(worker / kWorkersPerRack));
   description.labels = {"kind", description.rack.value};
-  description.capacity = {32'000, 128'000, 8};
+  description.capacity =
+      this->capacities.try_emplace(worker, Resources{32'000, 128'000, 8})
+          .first->second;
   description.last_crashed = this->last_crashed[worker];
   return this->planner.UpdateWorker(agent, description,
                                     this->now.After(kLeaseMs), this->Time());
@@ -64,6 +66,12 @@
   this->ReportWorker(worker, born_ms);
 }
 
+void PlannerFixture::ChangeCapacity(std::uint32_t worker,
+                                    const Resources& capacity) {
+  this->capacities[worker] = capacity;
+  this->ReportWorker(worker, this->start_times[worker]);
+}
+
 void PlannerFixture::MarkUnreachable(std::uint32_t worker) {
   this->planner.MarkWorkerUnreachable(InstanceId(WorkerName(worker)));
 }
--- a/tests/workload/planner_fixture.h
+++ b/tests/workload/planner_fixture.h
@@ -33,6 +33,9 @@
   /// has crashed.
   void ReportCrash(std::uint32_t worker, std::int64_t born_ms);
 
+  /// Changes the capacity in later reports of the worker, and reports it.
+  void ChangeCapacity(std::uint32_t worker, const Resources& capacity);
+
   /// Reports the worker as unreachable. Its lease expires 6 s after its last
   /// report.
   void MarkUnreachable(std::uint32_t worker);
@@ -56,6 +59,7 @@
   std::uint32_t workers;
   std::map<std::uint32_t, std::int64_t> start_times;
   std::map<std::uint32_t, WorkerIncarnation> last_crashed;
+  std::map<std::uint32_t, Resources> capacities;
 };
 
 }  // namespace carobrill::workload
