Count a crash only for runs whose start may have reached the worker

Cause: 13 workers crashed at 9.0 s. Task 0.0.1 lost its run with one of them at 9.17 s and was ordered from two others that had crashed as well, which their agents had not noticed yet. Both starts were answered 'unreachable', and each counted as a crash under the task, because the agent counted every run whose start it had sent.

Change: an agent counts runs whose start was accepted, is in flight or was not answered. A planner that infers a crash from a new incarnation counts only runs that it has seen running.

Evidence: the test of the run table and that of the planner failed before.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -204,7 +204,8 @@
 
 void RunTable::OnWorkerGone(WorkerExit exit) {
   for (auto& [key, state] : this->desired_runs) {
-    const bool executing = (state.start_sent || state.desired.started) &&
+    const bool executing = (state.desired.started || state.confirmed ||
+                            state.start_in_flight || state.start_unanswered) &&
                            !Contains(this->ended, key);
     this->MarkEnded(state, exit == WorkerExit::kCrash && executing
                                ? RunEnd::kWorkerCrashed
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -256,7 +256,10 @@
   for (const ActiveRun& run : lost) {
     const WorkerIncarnation incarnation = run.task->worker;
     const auto known = this->workers.find(incarnation.agent);
-    const bool crashed = known != this->workers.end() &&
+    // The start of a run that has not been seen running may not have reached
+    // the worker.
+    const bool crashed = run.task->phase != TaskPhase::kStarting &&
+                         known != this->workers.end() &&
                          known->second.description.last_crashed == incarnation;
     const RunEnd end = crashed ? RunEnd::kWorkerCrashed : RunEnd::kWorkerLost;
     this->ApplyEnd(this->jobs.at(run.key.job), incarnation,
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -134,5 +134,25 @@
   CHECK(end_after_crash(true, true) == workload::RunEnd::kWorkerLost);
 }
 
+TEST_CASE("a start that did not reach the worker does not count as crashed") {
+  // Guards against a job that fails because its start was ordered from workers
+  // that had already crashed.
+  const auto end_after_result = [](OrderResult result) {
+    RunTable table({});
+    table.SetDesired({MakeDesired()}, Instant{0});
+    CHECK(table.TakeDue(Instant{0}).starts.size() == 1);
+    table.OnStart(kRun, result, Instant{10});
+    table.OnWorkerGone(WorkerExit::kCrash);
+    REQUIRE(table.Ends().size() == 1);
+    return table.Ends()[0].end;
+  };
+  CHECK(end_after_result(OrderResult::kUnreachable) ==
+        workload::RunEnd::kWorkerLost);
+  CHECK(end_after_result(OrderResult::kNoAnswer) ==
+        workload::RunEnd::kWorkerCrashed);
+  CHECK(end_after_result(OrderResult::kDone) ==
+        workload::RunEnd::kWorkerCrashed);
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -77,6 +77,22 @@
   CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
 }
 
+TEST_CASE(
+    "a run that has not been seen running is not inferred to have crashed") {
+  // Guards against a job that fails because its start was ordered from workers
+  // that had already crashed.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  for (std::int64_t born_ms = 2; born_ms < 6; ++born_ms) {
+    fixture.planner.Plan(fixture.Time());
+    REQUIRE(fixture.ActiveTasks().contains(kTask));
+    fixture.now.ms += 5'000;
+    fixture.ReportCrash(0, born_ms);
+  }
+  fixture.planner.Plan(fixture.Time());
+  CHECK(!IsFinal(PhaseOf(fixture.planner)));
+}
+
 TEST_CASE("a task is not given up because workers left or were cut off") {
   // Guards against a job that fails because its workers were lost without a
   // crash.
