Do not use a worker again after its process has exited

(1) A heartbeat that was delayed and arrives after its worker has left or crashed made the worker ready again, so the planner assigned tasks to it. (2) A run that was ordered after its agent had seen the worker exit was neither started nor ended until the worker's restart, about 3 s later.

Change: an agent ignores heartbeats of an incarnation that has exited, and reports runs that are ordered afterwards as lost at once.

Evidence: the tests 'a delayed heartbeat does not bring back a worker that has left' and 'a run that is ordered after the worker has exited ends at once' failed before.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -39,6 +39,7 @@
   this->running.clear();
   this->ended.clear();
   this->unexpected.clear();
+  this->exited = false;
   this->orders_received = false;
   ++this->version;
 }
@@ -62,6 +63,9 @@
     } else {
       state.desired = std::move(run);
       state.retry_at = now;
+      if (this->exited) {
+        this->MarkEnded(state, RunEnd::kWorkerLost);
+      }
     }
     next.emplace(key, std::move(state));
   }
@@ -211,6 +215,7 @@
                                ? RunEnd::kWorkerCrashed
                                : RunEnd::kWorkerLost);
   }
+  this->exited = true;
   this->running.clear();
   this->ended.clear();
   this->unexpected.clear();
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -138,6 +138,8 @@
   /// was first listed.
   std::map<RunKey, Instant> unexpected;
   bool draining = false;
+  /// The worker's process has exited.
+  bool exited = false;
   /// Orders for this incarnation of the worker have been received.
   bool orders_received = false;
   std::uint64_t version = 1;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -69,12 +69,12 @@
   void Start() { this->ScheduleLeaseCall(0); }
 
   /// Handles a heartbeat of the worker. Ignores heartbeats of an earlier
-  /// incarnation and those that arrive out of order.
+  /// incarnation or one that has exited, and those that arrive out of order.
   void OnHeartbeat(const WorkerHeartbeat& heartbeat) {
     const auto& life = heartbeat.description.incarnation;
     if (life.born_ms < this->description.incarnation.born_ms ||
         (life == this->description.incarnation &&
-         heartbeat.sequence < this->sequence)) {
+         (heartbeat.sequence < this->sequence || this->exited))) {
       Log(LogLevel::kInfo, "ignoring outdated heartbeat",
           {{"worker", life.id.value},
            {"sequence", std::to_string(heartbeat.sequence)}});
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -154,5 +154,20 @@
         workload::RunEnd::kWorkerCrashed);
 }
 
+TEST_CASE("a run that is ordered after the worker has exited ends at once") {
+  // Guards against a task that waits for the worker's restart before it is
+  // assigned elsewhere.
+  RunTable table({});
+  table.SetDesired({}, Instant{0});
+  table.OnWorkerGone(WorkerExit::kCrash);
+  table.SetDesired({MakeDesired()}, Instant{10});
+  CHECK(table.TakeDue(Instant{10}).starts.empty());
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kWorkerLost);
+  table.Reset();
+  table.SetDesired({MakeDesired()}, Instant{20});
+  CHECK(table.TakeDue(Instant{20}).starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -145,5 +145,21 @@
   CHECK(after.cpu_millis() == 16'000);
 }
 
+TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
+  // Guards against orders to a server that has left.
+  AgentFixture fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  const auto availability = [&] {
+    return static_cast<WorkerAvailability>(fixture.Exchange().availability());
+  };
+  CHECK(availability() == WorkerAvailability::kReady);
+  fixture.task.Run([&] { fixture.agent->OnWorkerShutdown(WorkerId("w")); });
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  CHECK(availability() == WorkerAvailability::kAbsent);
+  fixture.port.listed = false;
+  fixture.Heartbeat(20, WorkerAvailability::kReady);
+  CHECK(availability() == WorkerAvailability::kReady);
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
