Do not hold up the tasks beside a last attempt that waits

What callers would see: when a worker crashes, the tasks of a job that were on it wait for 2 s beside free capacity, because the first of them needs an idle worker for its last attempt.

Cause: a pass skips the tasks that have waited no longer than one for which it found no worker.

Change: such a task does not stop the search for the others.

Evidence: the new test failed before: neither of the two other tasks started.

--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -180,7 +180,8 @@
 }
 
 // When a task finds no worker, the tasks that have waited no longer find none
-// either.
+// either, unless a worker has crashed under it: it may wait for an idle worker
+// while others need none.
 void JobPlanner::ScheduleTasks(WaitingUnit& waiting, Pass& pass) {
   const Submission& submission = waiting.job->submission;
   if (submission.advice.has_value()) {
@@ -207,7 +208,7 @@
     }
     if (this->ScheduleUnit(waiting, pass)) {
       --new_runs_left;
-    } else {
+    } else if (waiting.unit.worker_crashes == 0) {
       failed_since = waiting.runnable_since;
     }
   }
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -113,6 +113,21 @@
   CHECK(!IsFinal(PhaseOf(fixture.planner)));
 }
 
+TEST_CASE("a last attempt that waits does not hold up the tasks beside it") {
+  // Guards against tasks that wait although there is free capacity for them.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("other", MakeStep(1, {1'000, 1'000, 1})));
+  fixture.Plan();
+  Job job = Job::Of(MakeJob("j", MakeStep(3, {1'000, 1'000, 1})));
+  job.occurrences[0].steps[0].tasks[0].worker_crashes = kMaxWorkerCrashes - 1;
+  fixture.planner.Load(std::move(job), fixture.now);
+  fixture.Plan();
+  const auto active = fixture.ActiveTasks();
+  CHECK(!active.contains(kTask));
+  CHECK(active.contains({JobId("j"), 0, 0, 1}));
+  CHECK(active.contains({JobId("j"), 0, 0, 2}));
+}
+
 TEST_CASE("crashes far apart do not end a task that runs until cancelled") {
   // Guards against a service that fails after three unrelated crashes in
   // months.
