Do not start a run that exceeds a capacity that has shrunk since its order

Cause: the planner holds every start against the capacity that it knows, but an agent sent a start whenever the order reached it. An order that is delayed, for example by a cut between the two, or a start that is repeated because the worker did not answer, was sent although the agent knew from the worker's heartbeats that its capacity had shrunk meanwhile.

Change: an order says what the run takes of the capacity. An agent starts only what fits beside the runs that the worker may hold; those being stopped count until their end. Other runs are reported as refused, after a stop if a start is unanswered, and the planner places them again. Orders of an older planner say nothing and are not checked.

Evidence: four of the new tests fail without the comparison: the order after the shrinkage was started, and the unanswered start repeated.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -123,6 +123,9 @@
     message->set_ticket(order.ticket);
     message->set_filler(order.filler);
     message->set_latency_target_ms(order.latency_target_ms);
+    message->set_cpu_millis(order.demand.cpu_millis);
+    message->set_memory_mb(order.demand.memory_mb);
+    message->set_accelerators(order.demand.accelerators);
   }
   this->exchange(this->address, request,
                  now.After(wait_ms + this->settings.answer_timeout_ms),
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -83,11 +83,45 @@
   return Contains(this->running, run) || Contains(this->ended, run);
 }
 
+bool RunTable::MayHoldResources(const RunKey& run, const State& state) const {
+  return !state.ended && !Contains(this->ended, run) &&
+         (state.desired.started || state.confirmed || state.start_in_flight ||
+          state.start_unanswered || Contains(this->running, run));
+}
+
+workload::Resources RunTable::ResourcesInUse() const {
+  workload::Resources in_use;
+  for (const auto& [key, state] : this->desired_runs) {
+    if (this->MayHoldResources(key, state)) {
+      in_use += state.desired.demand;
+    }
+  }
+  return in_use;
+}
+
+// Ends a run whose start was rejected or must not be repeated. An earlier
+// unanswered attempt may still be executed, so it is stopped first.
+void RunTable::Withdraw(State& state, Instant now) {
+  if (state.start_unanswered) {
+    state.desired.stop = true;
+    state.retry_at = now;
+  } else {
+    this->MarkEnded(state, RunEnd::kRefused);
+  }
+}
+
+bool RunTable::MustStart(const RunKey& run, const State& state) const {
+  return !state.desired.stop && !state.desired.started && !state.confirmed &&
+         !state.start_in_flight && !Contains(this->running, run);
+}
+
 // An unanswered start may still be executed. A run that is no longer requested
 // is therefore stopped before its end is reported, so that the worker rejects
-// the late start.
+// the late start. The planner that ordered a run may have known a larger
+// capacity, and the worker may not check it.
 DueOrders RunTable::TakeDue(Instant now) {
   DueOrders due;
+  workload::Resources in_use = this->ResourcesInUse();
   for (auto& [key, state] : this->desired_runs) {
     if (state.ended || Contains(this->ended, key) || now < state.retry_at) {
       continue;
@@ -98,18 +132,29 @@
       this->MarkEnded(state, RunEnd::kRefused);
       continue;
     }
+    if (!unconfirmed_while_draining && this->MustStart(key, state)) {
+      const workload::Resources before = in_use;
+      if (!this->MayHoldResources(key, state)) {
+        in_use += state.desired.demand;
+      }
+      if (in_use.FitsIn(this->capacity)) {
+        state.start_in_flight = true;
+        state.start_sent = true;
+        due.starts.push_back(state.desired);
+        continue;
+      }
+      in_use = before;
+      due.withdrawn.push_back(key);
+      this->Withdraw(state, now);
+      if (state.ended) {
+        continue;
+      }
+    }
     if (state.desired.stop || unconfirmed_while_draining) {
       if (!state.stop_in_flight && !state.stop_done) {
         state.stop_in_flight = true;
         due.stops.push_back(key);
       }
-      continue;
-    }
-    if (!state.desired.started && !state.confirmed && !state.start_in_flight &&
-        !Contains(this->running, key)) {
-      state.start_in_flight = true;
-      state.start_sent = true;
-      due.starts.push_back(state.desired);
     }
   }
   for (auto& [key, seen] : this->unexpected) {
@@ -136,13 +181,7 @@
     case OrderResult::kTicketRefused:
     case OrderResult::kMalformed:
     case OrderResult::kUnhealthy:
-      // An earlier unanswered attempt may still be executed.
-      if (state.start_unanswered) {
-        state.desired.stop = true;
-        state.retry_at = now;
-      } else {
-        this->MarkEnded(state, RunEnd::kRefused);
-      }
+      this->Withdraw(state, now);
       return;
     case OrderResult::kOutdated:
       if (!this->IsListed(run)) {
@@ -208,12 +247,10 @@
 
 void RunTable::OnWorkerGone(WorkerExit exit) {
   for (auto& [key, state] : this->desired_runs) {
-    const bool executing = (state.desired.started || state.confirmed ||
-                            state.start_in_flight || state.start_unanswered) &&
-                           !Contains(this->ended, key);
-    this->MarkEnded(state, exit == WorkerExit::kCrash && executing
-                               ? RunEnd::kWorkerCrashed
-                               : RunEnd::kWorkerLost);
+    const bool crashed =
+        exit == WorkerExit::kCrash && this->MayHoldResources(key, state);
+    this->MarkEnded(state,
+                    crashed ? RunEnd::kWorkerCrashed : RunEnd::kWorkerLost);
   }
   this->exited = true;
   this->running.clear();
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -33,6 +33,8 @@
   std::string checkpoint;
   std::string ticket;
   RunTraits traits;
+  /// Part of the worker's capacity that the run takes.
+  workload::Resources demand;
 };
 
 /// How a worker's process ended.
@@ -50,6 +52,8 @@
 struct DueOrders {
   std::vector<DesiredRun> starts;
   std::vector<RunKey> stops;
+  /// Runs that are not started because they exceed the worker's capacity.
+  std::vector<RunKey> withdrawn;
 };
 
 /// Timing of orders to the worker, in ms.
@@ -77,6 +81,12 @@
   /// runs.
   void SetDraining(bool draining) { this->draining = draining; }
 
+  /// Sets the worker's capacity. No run is started that exceeds it together
+  /// with the requested runs that the worker may hold.
+  void SetCapacity(const workload::Resources& capacity) {
+    this->capacity = capacity;
+  }
+
   /// Returns the orders to send now. Each counts as in flight until its result
   /// is reported.
   DueOrders TakeDue(Instant now);
@@ -128,6 +138,10 @@
   };
 
   bool IsListed(const RunKey& run) const;
+  bool MustStart(const RunKey& run, const State& state) const;
+  bool MayHoldResources(const RunKey& run, const State& state) const;
+  workload::Resources ResourcesInUse() const;
+  void Withdraw(State& state, Instant now);
   void MarkEnded(State& state, workload::RunEnd end);
 
   RunTableSettings settings;
@@ -138,6 +152,7 @@
   /// was first listed.
   std::map<RunKey, Instant> unexpected;
   bool draining = false;
+  workload::Resources capacity;
   /// The worker's process has exited.
   bool exited = false;
   /// Orders for this incarnation of the worker have been received.
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -101,6 +101,7 @@
            {"accelerators",
             std::to_string(this->description.capacity.accelerators)}});
       this->runs.SetDraining(this->Draining());
+      this->runs.SetCapacity(this->description.capacity);
       this->Report();
       this->SendDue();
     }
@@ -173,14 +174,16 @@
         std::max(this->acknowledged_end, request.acknowledged_end());
     std::vector<DesiredRun> desired;
     for (const auto& order : request.orders()) {
-      desired.push_back({rpc::FromProto(order.task()),
-                         order.run(),
-                         order.stop(),
-                         order.started(),
-                         order.payload(),
-                         order.checkpoint(),
-                         order.ticket(),
-                         {order.filler(), order.latency_target_ms()}});
+      desired.push_back(
+          {rpc::FromProto(order.task()),
+           order.run(),
+           order.stop(),
+           order.started(),
+           order.payload(),
+           order.checkpoint(),
+           order.ticket(),
+           {order.filler(), order.latency_target_ms()},
+           {order.cpu_millis(), order.memory_mb(), order.accelerators()}});
     }
     this->runs.SetDesired(std::move(desired), BootClock{}.Now());
     this->SendDue();
@@ -287,6 +290,13 @@
     for (const RunKey& run : due.stops) {
       this->SendStop(run, now);
     }
+    for (const RunKey& run : due.withdrawn) {
+      Log(LogLevel::kInfo, "start_withdrawn",
+          {{"job", run.first.job.value},
+           {"task", NameOfTask(run.first)},
+           {"run", std::to_string(run.second)},
+           {"reason", "exceeds the worker's capacity"}});
+    }
     this->ReportChanges();
   }
 
@@ -369,6 +379,11 @@
     this->ReportChanges();
   }
 
+  static std::string NameOfTask(const workload::TaskKey& task) {
+    return std::to_string(task.occurrence) + "." + std::to_string(task.step) +
+           "." + std::to_string(task.index);
+  }
+
   void LogOrder(std::string_view order,
                 const RunKey& key,
                 OrderResult result,
@@ -381,9 +396,7 @@
         .Increment();
     Log(LogLevel::kInfo, "worker_order",
         {{"job", key.first.job.value},
-         {"task", std::to_string(key.first.occurrence) + "." +
-                      std::to_string(key.first.step) + "." +
-                      std::to_string(key.first.index)},
+         {"task", NameOfTask(key.first)},
          {"run", std::to_string(key.second)},
          {"order", std::string(order)},
          {"result", std::string(NameOf(result))},
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -397,6 +397,7 @@
   order.run = run.task->run;
   order.filler = run.spec->filler;
   order.latency_target_ms = run.spec->latency_target_ms;
+  order.demand = run.spec->PlacementDemand();
   order.stop = run.task->phase == TaskPhase::kStopping;
   order.started = run.task->phase != TaskPhase::kStarting;
   if (!order.started) {
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -72,6 +72,8 @@
   /// As in StepSpec.
   bool filler = false;
   std::int64_t latency_target_ms = 0;
+  /// StepSpec::PlacementDemand().
+  Resources demand;
 };
 
 /// A run that a worker reports as running.
--- a/tests/worker_agent/pace_controller_test.cc
+++ b/tests/worker_agent/pace_controller_test.cc
@@ -10,8 +10,8 @@
 
 RunTable MakeTable() {
   RunTable table({});
-  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}},
-                    {kFiller, 1, false, true, "", "", "", {true, 0}}},
+  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}, {}},
+                    {kFiller, 1, false, true, "", "", "", {true, 0}, {}}},
                    Instant{0});
   return table;
 }
@@ -57,15 +57,15 @@
   CHECK(pace.Update(MakeRuns(95), table, Instant{100}).empty());
   pace.OnFailure({kFiller, 1});
   CHECK(pace.Update(MakeRuns(95), table, Instant{200}).size() == 1);
-  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}},
-                    {kFiller, 2, false, true, "", "", "", {true, 0}}},
+  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}, {}},
+                    {kFiller, 2, false, true, "", "", "", {true, 0}, {}}},
                    Instant{0});
   CHECK(pace.Update(MakeRuns(95, 2), table, Instant{300}).size() == 1);
 }
 
 TEST_CASE("serving tasks are never throttled") {
   RunTable table({});
-  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}}},
+  table.SetDesired({{kServing, 1, false, true, "", "", "", {false, 100}, {}}},
                    Instant{0});
   PaceController pace({});
   CHECK(pace.Update({{kServing, 1, 100, "", 500}}, table, Instant{0}).empty());
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -9,7 +9,7 @@
 const RunKey kRun{kTask, 3};
 
 DesiredRun MakeDesired(bool stop = false, bool started = false) {
-  return {kTask, 3, stop, started, "payload", "", "", {}};
+  return {kTask, 3, stop, started, "payload", "", "", {}, {}};
 }
 
 LeaseReply MakeReply(bool running, std::vector<ListedRunEnd> ended = {}) {
@@ -60,6 +60,64 @@
   CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
 }
 
+DesiredRun MakeDemanding(std::uint32_t index, std::int64_t accelerators) {
+  DesiredRun run = MakeDesired();
+  run.task.index = index;
+  run.demand = {0, 0, accelerators};
+  return run;
+}
+
+TEST_CASE("a run that no longer fits the worker's capacity is not started") {
+  // Guards against exceeding a capacity that shrank after the run was ordered.
+  RunTable table({});
+  table.SetCapacity({0, 0, 4});
+  table.SetDesired({MakeDemanding(0, 3), MakeDemanding(1, 2)}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].task.index == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
+}
+
+TEST_CASE("a run that is being stopped still counts against the capacity") {
+  // Guards against exceeding a capacity that shrank while a run is stopped.
+  RunTable table({});
+  table.SetCapacity({0, 0, 4});
+  DesiredRun stopping = MakeDemanding(0, 3);
+  stopping.stop = true;
+  stopping.started = true;
+  table.SetDesired({stopping, MakeDemanding(1, 2)}, Instant{0});
+  CHECK(table.TakeDue(Instant{0}).starts.empty());
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].task.index == 1);
+}
+
+TEST_CASE("an ended run does not count against the capacity") {
+  // Guards against refusing a run for which the worker has capacity.
+  RunTable table({});
+  table.SetCapacity({0, 0, 4});
+  table.SetDesired({MakeDemanding(0, 3)}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart({kTask, 3}, OrderResult::kDone, Instant{5});
+  table.OnLists(MakeReply(false, {{1, kTask, 3, workload::RunEnd::kDone, ""}}),
+                Instant{10}, Instant{10});
+  table.SetDesired({MakeDemanding(0, 3), MakeDemanding(1, 2)}, Instant{20});
+  CHECK(table.TakeDue(Instant{20}).starts.size() == 1);
+}
+
+TEST_CASE("an unanswered start that no longer fits is stopped, not repeated") {
+  // Guards against a late start that exceeds a capacity that shrank meanwhile.
+  RunTable table({});
+  table.SetCapacity({0, 0, 4});
+  table.SetDesired({MakeDemanding(0, 3)}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{10});
+  table.SetCapacity({0, 0, 2});
+  const DueOrders due = table.TakeDue(Instant{500});
+  CHECK(due.starts.empty());
+  CHECK(due.stops.size() == 1);
+  CHECK(table.Ends().empty());
+}
+
 TEST_CASE("a draining worker is sent no starts") {
   RunTable table({});
   table.SetDraining(true);
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -17,7 +17,8 @@
 struct FakePort {
   void Start(const StartOrder&,
              Instant,
-             const std::function<void(StartReply)>& done) const {
+             const std::function<void(StartReply)>& done) {
+    ++this->starts;
     done({OrderResult::kDone, 1});
   }
   void Stop(const StopOrder&,
@@ -43,6 +44,7 @@
 
   /// The lists of the present incarnation have been returned.
   bool listed = false;
+  int starts = 0;
 };
 
 constexpr std::int64_t kLeaseMs = 60'000;
@@ -78,7 +80,7 @@
   }
 
   /// Orders one run on the incarnation, and returns the agent's report.
-  rpc::ExchangeReply Order(std::int64_t born_ms) {
+  rpc::ExchangeReply Order(std::int64_t born_ms, std::int64_t cpu_millis = 0) {
     rpc::ExchangeRequest request;
     request.mutable_worker()->set_id("w");
     request.mutable_worker()->set_born_unix_ms(born_ms);
@@ -86,6 +88,7 @@
     auto* order = request.add_orders();
     order->mutable_task()->set_job(kJobId);
     order->set_run(1);
+    order->set_cpu_millis(cpu_millis);
     return this->Exchange(request);
   }
 
@@ -145,6 +148,19 @@
   CHECK(after.cpu_millis() == 16'000);
 }
 
+TEST_CASE("an order from before the worker's capacity shrank is not started") {
+  // Guards against exceeding the capacity of a worker after its agent was cut
+  // off from the planner.
+  AgentFixture fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Heartbeat(10, WorkerAvailability::kReady, /*cpu_millis=*/16'000);
+  const auto reply = fixture.Order(10, /*cpu_millis=*/20'000);
+  CHECK(fixture.port.starts == 0);
+  REQUIRE(reply.ended_size() == 1);
+  CHECK(static_cast<workload::RunEnd>(reply.ended(0).end()) ==
+        workload::RunEnd::kRefused);
+}
+
 TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
   // Guards against orders to a server that has left.
   AgentFixture fixture;
--- a/tests/workload/capacity_change_test.cc
+++ b/tests/workload/capacity_change_test.cc
@@ -38,5 +38,16 @@
   CHECK(fixture.ActiveTasks().size() == 4);
 }
 
+TEST_CASE("an order tells the agent what the run takes of the capacity") {
+  // Guards against an agent that cannot check a capacity that has shrunk.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 2'000, 3})));
+  fixture.Plan();
+  const auto orders = fixture.planner.Orders(fixture.planner.NextCommit());
+  REQUIRE(orders.size() == 1);
+  REQUIRE(orders.begin()->second.size() == 1);
+  CHECK(orders.begin()->second[0].demand == Resources{1'000, 2'000, 3});
+}
+
 }  // namespace
 }  // namespace carobrill::workload
