Share the function that formats the position of a task

The agent's log of orders and withdrawn starts had a copy of the planner's. No change of behaviour; the tests of workload, worker_agent and gateway pass.

--- a/packages/gateway/planner_log.cc
+++ b/packages/gateway/planner_log.cc
@@ -10,11 +10,6 @@
 
 constexpr double kMsPerSecond = 1000;
 
-std::string FormatTask(const workload::TaskKey& task) {
-  return std::to_string(task.occurrence) + "." + std::to_string(task.step) +
-         "." + std::to_string(task.index);
-}
-
 }  // namespace
 
 PlannerLog::PlannerLog(MetricsRegistry& metrics)
@@ -45,7 +40,7 @@
     }
     Log(LogLevel::kInfo, NameOf(event.kind),
         {{"job", event.task.job.value},
-         {"task", FormatTask(event.task)},
+         {"task", event.task.Position()},
          {"run", std::to_string(event.run)},
          {"worker", event.worker.value},
          {"detail", event.detail},
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -293,7 +293,7 @@
     for (const RunKey& run : due.withdrawn) {
       Log(LogLevel::kInfo, "start_withdrawn",
           {{"job", run.first.job.value},
-           {"task", NameOfTask(run.first)},
+           {"task", run.first.Position()},
            {"run", std::to_string(run.second)},
            {"reason", "exceeds the worker's capacity"}});
     }
@@ -379,11 +379,6 @@
     this->ReportChanges();
   }
 
-  static std::string NameOfTask(const workload::TaskKey& task) {
-    return std::to_string(task.occurrence) + "." + std::to_string(task.step) +
-           "." + std::to_string(task.index);
-  }
-
   void LogOrder(std::string_view order,
                 const RunKey& key,
                 OrderResult result,
@@ -396,7 +391,7 @@
         .Increment();
     Log(LogLevel::kInfo, "worker_order",
         {{"job", key.first.job.value},
-         {"task", NameOfTask(key.first)},
+         {"task", key.first.Position()},
          {"run", std::to_string(key.second)},
          {"order", std::string(order)},
          {"result", std::string(NameOf(result))},
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -22,6 +22,12 @@
   std::uint32_t index = 0;
 
   auto operator<=>(const TaskKey&) const = default;
+
+  /// Returns the position of the task in its job: "OCCURRENCE.STEP.INDEX".
+  std::string Position() const {
+    return std::to_string(this->occurrence) + "." + std::to_string(this->step) +
+           "." + std::to_string(this->index);
+  }
 };
 
 /// One incarnation of a worker. A worker that restarts under the same id keeps
