--- a/tests/workload/load_test.cc
+++ b/tests/workload/load_test.cc
@@ -70,8 +70,7 @@
 }
 
 TEST_CASE("a wide job with time left does not keep others from starting") {
-  // Guards against a job that takes most of the cluster at once although its
-  // objective leaves time for several waves.
+  // Guards against a job that takes most of the cluster without need.
   PlannerSimulation simulation(12, 4);
   simulation.Submit(0, MakeStep(8, {30'000, 100'000, 8}, false, 20'000));
   const JobId wide = simulation.Jobs().begin()->first;
