--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -193,8 +193,7 @@
 }
 
 TEST_CASE("a start that did not reach the worker does not count as crashed") {
-  // Guards against a job that fails because its start was ordered from workers
-  // that had already crashed.
+  // Guards against a job that fails for crashes before its starts.
   const auto end_after_result = [](OrderResult result) {
     RunTable table({});
     table.SetDesired({MakeDesired()}, Instant{0});
@@ -213,8 +212,7 @@
 }
 
 TEST_CASE("a run that is ordered after the worker has exited ends at once") {
-  // Guards against a task that waits for the worker's restart before it is
-  // assigned elsewhere.
+  // Guards against a task that waits for the worker's restart.
   RunTable table({});
   table.SetDesired({}, Instant{0});
   table.OnWorkerGone(WorkerExit::kCrash);
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -137,8 +137,7 @@
 }
 
 TEST_CASE("a change of the worker's capacity is reported at once") {
-  // Guards against starts on a worker whose capacity has shrunk, until the
-  // waiting exchange ends.
+  // Guards against starts beyond a capacity that has shrunk.
   AgentFixture fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   const auto before = fixture.Exchange();
@@ -149,8 +148,7 @@
 }
 
 TEST_CASE("an order from before the worker's capacity shrank is not started") {
-  // Guards against exceeding the capacity of a worker after its agent was cut
-  // off from the planner.
+  // Guards against delayed orders that exceed the capacity of a worker.
   AgentFixture fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Heartbeat(10, WorkerAvailability::kReady, /*cpu_millis=*/16'000);
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -86,8 +86,7 @@
 
 TEST_CASE(
     "a run that has not been seen running is not inferred to have crashed") {
-  // Guards against a job that fails because its start was ordered from workers
-  // that had already crashed.
+  // Guards against a job that fails for crashes before its starts.
   PlannerFixture fixture(1);
   fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
   for (std::int64_t born_ms = 2; born_ms < 6; ++born_ms) {
@@ -101,8 +100,7 @@
 }
 
 TEST_CASE("a task is not given up because workers left or were cut off") {
-  // Guards against a job that fails because its workers were lost without a
-  // crash.
+  // Guards against a job that fails without a crash.
   PlannerFixture fixture(1);
   fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
   for (int i = 0; i < 10; ++i) {
@@ -129,8 +127,7 @@
 }
 
 TEST_CASE("crashes far apart do not end a task that runs until cancelled") {
-  // Guards against a service that fails after three unrelated crashes in
-  // months.
+  // Guards against a service that fails for crashes months apart.
   PlannerFixture fixture(1);
   StepSpec step = MakeStep(1, {1'000, 1'000, 1});
   step.long_running = true;
@@ -156,8 +153,7 @@
 }
 
 TEST_CASE("jobs beside tasks that crash their workers do not fail") {
-  // Guards against tasks that are placed together again after a crash, so that
-  // those beside the faulty one are given up with it.
+  // Guards against tasks that are given up with a faulty one beside them.
   PlannerSimulation simulation(12, 4);
   const StepSpec sound = MakeLoadStep(6'000);
   const StepSpec faulty = MakeLoadStep(5'000);
