review: case 4, a run is lost when its agent restarts as its worker dies

LOST: the new agent knows no worker, answers the planner, and so the run neither expires nor is seen as one of another life.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case; writes record.txt. Exits with 1 if the rule was broken, 0 if
+# it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/carobrilld ] && [ -x target/review/case-4 ] || exit 2
+exec timeout -k 2 110 target/review/case-4 target/carobrilld review/4/record.txt
