review: the deployment owns the log of runs, so that it outlives the runners

Runners could touch the log after it was destroyed; a fuzz driver built on the same stand-ins crashed at its end for this.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -15,7 +15,6 @@
 constexpr std::int64_t kMuteMs = 5'000;
 
 Verdict Play(Deployment& deployment, Record& record, bool trouble) {
-  RunLog runs;
   deployment.Configure(1);
   Gateway& gateway = deployment.AddGateway("gateway-a");
   deployment.AddGateway("gateway-b");
@@ -23,7 +22,7 @@
     return Runner::Work{kWorkMs, "done"};
   };
   for (int i = 1; i <= kMachines; ++i) {
-    deployment.AddMachine("side-" + std::to_string(i), {}, runs, work);
+    deployment.AddMachine("side-" + std::to_string(i), {}, work);
   }
   // The planner fills this worker first.
   Machine& machine = deployment.machines.front();
@@ -56,7 +55,7 @@
   // An end is taken note of when last_seen reaches it; the lease of the runner
   // did not lapse, or its runs would have ended so.
   bool broken = false;
-  const auto spans = runs.Spans();
+  const auto spans = deployment.runs.Spans();
   for (const RunSpan& first : spans) {
     for (const RunSpan& later : spans) {
       if (first.task == later.task && first.how == "done" && first.noted &&
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -15,7 +15,6 @@
 constexpr std::int64_t kFirstBeatMs = 300;
 
 Verdict Play(Deployment& deployment, Record& record, bool trouble) {
-  RunLog runs;
   deployment.Configure(1);
   Gateway& gateway = deployment.AddGateway("gateway-a");
   deployment.AddGateway("gateway-b");
@@ -23,7 +22,7 @@
     return Runner::Work{kWorkMs, "done"};
   };
   for (int i = 1; i <= kMachines; ++i) {
-    deployment.AddMachine("side-" + std::to_string(i), {}, runs, work);
+    deployment.AddMachine("side-" + std::to_string(i), {}, work);
   }
   // The planner fills this worker first.
   Machine& machine = deployment.machines.front();
@@ -48,7 +47,7 @@
   }
   SleepMs(14'000);
   bool broken = false;
-  const auto spans = runs.Spans();
+  const auto spans = deployment.runs.Spans();
   for (const RunSpan& first : spans) {
     for (const RunSpan& later : spans) {
       const bool other = &first != &later && first.task == later.task &&
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -16,7 +16,6 @@
 constexpr std::int64_t kIdleMs = 3'000;
 
 Verdict Play(Deployment& deployment, Record& record, bool trouble) {
-  RunLog runs;
   deployment.Configure(1);
   Gateway& gateway = deployment.AddGateway("gateway-a");
   deployment.AddGateway("gateway-b");
@@ -24,7 +23,7 @@
     return Runner::Work{kWorkMs, "done"};
   };
   for (int i = 1; i <= kMachines; ++i) {
-    deployment.AddMachine("side-" + std::to_string(i), {}, runs, work);
+    deployment.AddMachine("side-" + std::to_string(i), {}, work);
   }
   if (!deployment.WaitReady()) {
     return kCannotRun;
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -188,14 +188,13 @@
 
   Machine& AddMachine(const std::string& name,
                       RunnerSettings runner,
-                      RunLog& log,
                       Runner::WorkOf work_of) {
     Machine machine;
     machine.name = name;
     machine.control = FreePort();
     runner.id = runner.id.empty() ? "runner-" + name : runner.id;
     machine.runner = std::make_unique<Runner>(
-        runner, machine.control, this->record, log, std::move(work_of));
+        runner, machine.control, this->record, this->runs, std::move(work_of));
     const nlohmann::json settings = {
         {"role", "worker_agent"},
         {"instance",
@@ -260,6 +259,7 @@
   Record& record;
   std::string folder;
   Store store;
+  RunLog runs;
   std::vector<Gateway> gateways;
   std::vector<Machine> machines;
 
