Do not refuse a run that ended while the worker's answers were lost

Cause: an agent repeats a start that got no answer. If the run has ended meanwhile, the worker rejects the repeated start as outdated. The agent took that for a run that never ran, because its lists did not show the run; but the lists were as old as the last answer, from before the run began.

Change: an outdated start closes the run for further starts. The run ends only with lists that were requested after that answer: by its listed end, or as refused if they lack it. The answer of a stop already worked so and shares the condition.

The new test failed before: the run was refused before any list had arrived.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -79,10 +79,6 @@
                                            : found->second.desired.traits;
 }
 
-bool RunTable::IsListed(const RunKey& run) const {
-  return Contains(this->running, run) || Contains(this->ended, run);
-}
-
 bool RunTable::MayHoldResources(const RunKey& run, const State& state) const {
   return !state.ended && !Contains(this->ended, run) &&
          (state.desired.started || state.confirmed || state.start_in_flight ||
@@ -112,7 +108,8 @@
 
 bool RunTable::MustStart(const RunKey& run, const State& state) const {
   return !state.desired.stop && !state.desired.started && !state.confirmed &&
-         !state.start_in_flight && !Contains(this->running, run);
+         !state.closed && !state.start_in_flight &&
+         !Contains(this->running, run);
 }
 
 // An unanswered start may still be executed. A run that is no longer requested
@@ -184,9 +181,10 @@
       this->Withdraw(state, now);
       return;
     case OrderResult::kOutdated:
-      if (!this->IsListed(run)) {
-        this->MarkEnded(state, RunEnd::kRefused);
-      }
+      // An earlier, unanswered start may have run to its end. Only lists that
+      // are requested from now on tell.
+      state.closed = true;
+      state.closed_at = now;
       return;
     default:
       state.start_unanswered =
@@ -210,7 +208,8 @@
     return;
   }
   state.stop_done = true;
-  state.stop_done_at = now;
+  state.closed = true;
+  state.closed_at = now;
 }
 
 void RunTable::OnLists(const LeaseReply& reply, Instant sent, Instant now) {
@@ -223,10 +222,9 @@
   for (auto& [key, state] : this->desired_runs) {
     if (Contains(this->running, key)) {
       state.confirmed = true;
-    } else if (state.stop_done && !state.ended && sent >= state.stop_done_at &&
+    } else if (state.closed && !state.ended && sent >= state.closed_at &&
                !Contains(this->ended, key)) {
-      // Stopped without a listed end. From now on the worker rejects a late
-      // start.
+      // No end is listed, and the worker rejects a late start.
       this->MarkEnded(state,
                       state.confirmed ? RunEnd::kStopped : RunEnd::kRefused);
     }
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -125,19 +125,21 @@
     bool stop_in_flight = false;
     bool start_sent = false;
     bool stop_done = false;
+    /// The worker rejects further starts of the run, because it has stopped or
+    /// ended there. Lists requested before `closed_at` may lack its end.
+    bool closed = false;
+    Instant closed_at;
     /// A start order was not answered and may still be executed later.
     bool start_unanswered = false;
     /// The worker has accepted or listed the run.
     bool confirmed = false;
     Instant retry_at;
-    Instant stop_done_at;
     /// Run end derived from order results or the loss of the worker. Valid if
     /// `ended` is true.
     bool ended = false;
     workload::RunEnd end = workload::RunEnd::kRefused;
   };
 
-  bool IsListed(const RunKey& run) const;
   bool MustStart(const RunKey& run, const State& state) const;
   bool MayHoldResources(const RunKey& run, const State& state) const;
   workload::Resources ResourcesInUse() const;
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -118,6 +118,35 @@
   CHECK(table.Ends().empty());
 }
 
+TEST_CASE("a run that ended while answers were lost is not refused") {
+  // Guards against repeating a task that is done: the repeated start is
+  // rejected before the lists with the end arrive.
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{400});
+  REQUIRE(table.TakeDue(Instant{600}).starts.size() == 1);
+  table.OnStart(kRun, OrderResult::kOutdated, Instant{610});
+  CHECK(table.Ends().empty());
+  table.OnLists(MakeReply(false), Instant{605}, Instant{615});
+  CHECK(table.Ends().empty());
+  CHECK(table.TakeDue(Instant{2'000}).starts.empty());
+  table.OnLists(MakeReply(false, {{7, kTask, 3, workload::RunEnd::kDone, ""}}),
+                Instant{2'010}, Instant{2'020});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kDone);
+}
+
+TEST_CASE("an outdated start ends the run once newer lists lack it") {
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart(kRun, OrderResult::kOutdated, Instant{10});
+  table.OnLists(MakeReply(false), Instant{20}, Instant{30});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
+}
+
 TEST_CASE("a draining worker is sent no starts") {
   RunTable table({});
   table.SetDraining(true);
