Stop the runs of a restarted worker before they count as lost

Cause: an order names the worker by its id only, so a start that the agent repeated for the earlier process was carried out by the new one. When the agent learned of the new process it reported all earlier runs as ended, and the planner started them elsewhere at once.

Change: if the worker has restarted under its id, the agent reports it as absent and keeps its runs assigned until the new process has confirmed a stop of each and lists it as ended or not at all. A stop also makes the worker reject a start that is still under way. What the new process ended before the stop is reported as it ended.

The new tests of the agent failed before: it reported the new incarnation, or the ends, while the runs were listed.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -13,12 +13,17 @@
 }
 
 template <typename Entry>
-bool Contains(const std::vector<Entry>& list, const RunKey& run) {
-  return std::ranges::any_of(list, [&](const Entry& entry) {
+auto FindRun(const std::vector<Entry>& list, const RunKey& run) {
+  return std::ranges::find_if(list, [&](const Entry& entry) {
     return entry.task == run.first && entry.run == run.second;
   });
 }
 
+template <typename Entry>
+bool Contains(const std::vector<Entry>& list, const RunKey& run) {
+  return FindRun(list, run) != list.end();
+}
+
 bool SameRuns(const std::vector<ListedRun>& a,
               const std::vector<ListedRun>& b) {
   return std::ranges::equal(a, b, [](const auto& x, const auto& y) {
@@ -40,6 +45,7 @@
   this->ended.clear();
   this->unexpected.clear();
   this->exited = false;
+  this->restarted = false;
   this->orders_received = false;
   ++this->version;
 }
@@ -220,13 +226,17 @@
   this->running = reply.running;
   this->ended = reply.ended;
   for (auto& [key, state] : this->desired_runs) {
-    if (Contains(this->running, key)) {
+    const auto end = FindRun(this->ended, key);
+    if (this->restarted && end != this->ended.end()) {
+      this->MarkEnded(state, end->end);
+    } else if (Contains(this->running, key)) {
       state.confirmed = true;
     } else if (state.closed && !state.ended && sent >= state.closed_at &&
-               !Contains(this->ended, key)) {
+               end == this->ended.end()) {
       // No end is listed, and the worker rejects a late start.
-      this->MarkEnded(state,
-                      state.confirmed ? RunEnd::kStopped : RunEnd::kRefused);
+      const RunEnd unlisted =
+          state.confirmed ? RunEnd::kStopped : RunEnd::kRefused;
+      this->MarkEnded(state, this->restarted ? state.end_by_exit : unlisted);
     }
   }
   // Before the first orders arrive, it is unknown which runs were ordered.
@@ -243,12 +253,40 @@
   this->unexpected = std::move(remaining);
 }
 
+RunEnd RunTable::EndByExit(const RunKey& run,
+                           const State& state,
+                           WorkerExit exit) const {
+  if (this->restarted) {
+    return state.end_by_exit;
+  }
+  const bool crashed =
+      exit == WorkerExit::kCrash && this->MayHoldResources(run, state);
+  return crashed ? RunEnd::kWorkerCrashed : RunEnd::kWorkerLost;
+}
+
+// Starts in flight may still arrive at the new process. After the stop it
+// rejects them.
+void RunTable::OnWorkerRestarted(WorkerExit exit, Instant now) {
+  for (auto& [key, state] : this->desired_runs) {
+    state.end_by_exit = this->EndByExit(key, state, exit);
+    state.desired.stop = true;
+    state.start_in_flight = false;
+    state.start_sent = true;
+    state.stop_in_flight = false;
+    state.stop_done = false;
+    state.closed = false;
+    state.retry_at = now;
+  }
+  this->restarted = true;
+  this->running.clear();
+  this->ended.clear();
+  this->unexpected.clear();
+  ++this->version;
+}
+
 void RunTable::OnWorkerGone(WorkerExit exit) {
   for (auto& [key, state] : this->desired_runs) {
-    const bool crashed =
-        exit == WorkerExit::kCrash && this->MayHoldResources(key, state);
-    this->MarkEnded(state,
-                    crashed ? RunEnd::kWorkerCrashed : RunEnd::kWorkerLost);
+    this->MarkEnded(state, this->EndByExit(key, state, exit));
   }
   this->exited = true;
   this->running.clear();
@@ -257,6 +295,12 @@
   ++this->version;
 }
 
+bool RunTable::AllEnded() const {
+  return std::ranges::all_of(this->desired_runs, [this](const auto& entry) {
+    return entry.second.ended || Contains(this->ended, entry.first);
+  });
+}
+
 std::vector<ListedRunEnd> RunTable::Ends() const {
   std::vector<ListedRunEnd> ends = this->ended;
   for (const auto& [key, state] : this->desired_runs) {
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -100,10 +100,19 @@
   /// Handles the worker's lists. `sent` is when they were requested.
   void OnLists(const LeaseReply& reply, Instant sent, Instant now);
 
+  /// The worker's process has started again under the same id. Orders to the
+  /// earlier process may have reached the new one, so every run is stopped
+  /// there. A run ends as the new process lists it, or else as after
+  /// OnWorkerGone().
+  void OnWorkerRestarted(WorkerExit exit, Instant now);
+
   /// Ends all runs because the worker's process has exited. After a crash, the
   /// runs that may have been executing count as crashed, the others as lost.
   void OnWorkerGone(WorkerExit exit);
 
+  /// Returns whether the ends of all requested runs are known.
+  bool AllEnded() const;
+
   /// Returns the traits of a requested run, or default traits for any other
   /// run.
   RunTraits TraitsOf(const RunKey& run) const;
@@ -138,6 +147,9 @@
     /// `ended` is true.
     bool ended = false;
     workload::RunEnd end = workload::RunEnd::kRefused;
+    /// End of a run that the process that started last does not list, if the
+    /// worker has restarted.
+    workload::RunEnd end_by_exit = workload::RunEnd::kWorkerLost;
   };
 
   bool MustStart(const RunKey& run, const State& state) const;
@@ -145,6 +157,9 @@
   workload::Resources ResourcesInUse() const;
   void Withdraw(State& state, Instant now);
   void MarkEnded(State& state, workload::RunEnd end);
+  workload::RunEnd EndByExit(const RunKey& run,
+                             const State& state,
+                             WorkerExit exit) const;
 
   RunTableSettings settings;
   std::map<RunKey, State> desired_runs;
@@ -157,6 +172,8 @@
   workload::Resources capacity;
   /// The worker's process has exited.
   bool exited = false;
+  /// The requested runs were ordered from an earlier process of the worker.
+  bool restarted = false;
   /// Orders for this incarnation of the worker have been received.
   bool orders_received = false;
   std::uint64_t version = 1;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -72,7 +72,9 @@
   /// incarnation or one that has exited, and those that arrive out of order.
   void OnHeartbeat(const WorkerHeartbeat& heartbeat) {
     const auto& life = heartbeat.description.incarnation;
-    if (life.born_ms < this->description.incarnation.born_ms ||
+    const std::int64_t latest_born_ms =
+        this->restarted_born_ms.value_or(this->description.incarnation.born_ms);
+    if (life.born_ms < latest_born_ms ||
         (life == this->description.incarnation &&
          (heartbeat.sequence < this->sequence || this->exited))) {
       Log(LogLevel::kInfo, "ignoring outdated heartbeat",
@@ -81,30 +83,15 @@
       return;
     }
     const bool new_incarnation = life != this->description.incarnation;
+    if (new_incarnation && this->MayHoldRuns(life.id)) {
+      this->successor = heartbeat;
+      this->OnRestart(life.born_ms);
+      return;
+    }
     if (new_incarnation && !this->description.incarnation.id.empty()) {
       this->EndIncarnation("a new incarnation reports", this->ExitKind());
     }
-    const bool changed = heartbeat.description != this->description;
-    this->description = heartbeat.description;
-    this->sequence = heartbeat.sequence;
-    if (new_incarnation) {
-      this->BeginIncarnation();
-    }
-    if (changed) {
-      Log(LogLevel::kInfo, "worker_state",
-          {{"worker", life.id.value},
-           {"born_ms", std::to_string(life.born_ms)},
-           {"state", std::string(NameOf(this->description.availability))},
-           {"cpu_millis",
-            std::to_string(this->description.capacity.cpu_millis)},
-           {"memory_mb", std::to_string(this->description.capacity.memory_mb)},
-           {"accelerators",
-            std::to_string(this->description.capacity.accelerators)}});
-      this->runs.SetDraining(this->Draining());
-      this->runs.SetCapacity(this->description.capacity);
-      this->Report();
-      this->SendDue();
-    }
+    this->Follow(heartbeat);
   }
 
   /// Handles a planned shutdown of the worker.
@@ -155,6 +142,46 @@
            workload::WorkerAvailability::kDraining;
   }
 
+  /// Returns whether orders for the present incarnation of a worker may take
+  /// effect in a later one, which has the same id.
+  bool MayHoldRuns(const WorkerId& worker) const {
+    return worker == this->description.incarnation.id && !this->exited &&
+           !this->runs.AllEnded();
+  }
+
+  void Follow(const WorkerHeartbeat& heartbeat) {
+    if (this->SetDescription(heartbeat)) {
+      this->Report();
+      this->SendDue();
+    }
+  }
+
+  /// Takes over the worker's description. Returns whether it has changed.
+  bool SetDescription(const WorkerHeartbeat& heartbeat) {
+    const auto& life = heartbeat.description.incarnation;
+    const bool changed = heartbeat.description != this->description;
+    const bool new_incarnation = life != this->description.incarnation;
+    this->description = heartbeat.description;
+    this->sequence = heartbeat.sequence;
+    if (new_incarnation) {
+      this->BeginIncarnation();
+    }
+    if (changed) {
+      Log(LogLevel::kInfo, "worker_state",
+          {{"worker", life.id.value},
+           {"born_ms", std::to_string(life.born_ms)},
+           {"state", std::string(NameOf(this->description.availability))},
+           {"cpu_millis",
+            std::to_string(this->description.capacity.cpu_millis)},
+           {"memory_mb", std::to_string(this->description.capacity.memory_mb)},
+           {"accelerators",
+            std::to_string(this->description.capacity.accelerators)}});
+      this->runs.SetDraining(this->Draining());
+      this->runs.SetCapacity(this->description.capacity);
+    }
+    return changed;
+  }
+
   /// A worker that is draining may end at any time.
   WorkerExit ExitKind() const {
     return this->Draining() ? WorkerExit::kShutdown : WorkerExit::kCrash;
@@ -167,7 +194,10 @@
         request.worker().id() == this->description.incarnation.id.value &&
         request.worker().born_unix_ms() ==
             this->description.incarnation.born_ms;
-    if (!same_incarnation || request.worker().id().empty()) {
+    // While runs of an earlier process are being stopped, the acknowledged end
+    // counts the ends of that process.
+    if (!same_incarnation || request.worker().id().empty() ||
+        this->restarted_born_ms.has_value()) {
       return;
     }
     this->acknowledged_end =
@@ -221,6 +251,9 @@
           this->last_crashed.born_ms);
     }
     reply.set_running_age_ms(BootClock{}.Now().ms - this->lists_read_at.ms);
+    if (this->restarted_born_ms.has_value()) {
+      return reply;
+    }
     for (const ListedRun& run : this->runs.Running()) {
       auto* message = reply.add_running();
       *message->mutable_task() = rpc::ToProto(run.task);
@@ -280,7 +313,7 @@
 
   void SendDue() {
     const Instant now = BootClock{}.Now();
-    if (!this->lists_read) {
+    if (!this->lists_read && !this->restarted_born_ms.has_value()) {
       return;
     }
     DueOrders due = this->runs.TakeDue(now);
@@ -311,9 +344,9 @@
         {run.task, run.run, run.payload, run.checkpoint, run.ticket, until,
          this->fence, this->description.incarnation.id},
         now.After(this->settings.answer_timeout_ms),
-        [this, alive = this->alive, key, life = this->description.incarnation,
+        [this, alive = this->alive, key, process = this->worker_process,
          sent = now](const StartReply& reply) {
-          if (*alive && life == this->description.incarnation) {
+          if (*alive && process == this->worker_process) {
             this->UpdateWorkerClock(reply.worker_clock_ms);
             this->LogOrder("start", key, reply.result, sent);
             this->runs.OnStart(key, reply.result, BootClock{}.Now());
@@ -326,9 +359,9 @@
     this->port.Stop(
         {key.first, key.second, this->fence, this->description.incarnation.id},
         now.After(this->settings.answer_timeout_ms),
-        [this, alive = this->alive, key, life = this->description.incarnation,
+        [this, alive = this->alive, key, process = this->worker_process,
          sent = now](OrderResult result) {
-          if (*alive && life == this->description.incarnation) {
+          if (*alive && process == this->worker_process) {
             this->LogOrder("stop", key, result, sent);
             this->runs.OnStop(key, result, BootClock{}.Now());
             this->OnOrderResult(result);
@@ -344,10 +377,9 @@
           {change.task, change.run, change.percent, this->fence,
            this->description.incarnation.id},
           now.After(this->settings.answer_timeout_ms),
-          [this, alive = this->alive, change,
-           life = this->description.incarnation,
+          [this, alive = this->alive, change, process = this->worker_process,
            sent = now](OrderResult result) {
-            if (*alive && life == this->description.incarnation) {
+            if (*alive && process == this->worker_process) {
               const RunKey key{change.task, change.run};
               this->LogOrder("pace " + std::to_string(change.percent), key,
                              result, sent);
@@ -418,10 +450,12 @@
       return;
     }
     const Instant now = BootClock{}.Now();
+    const bool restarted = this->restarted_born_ms.has_value();
     const std::int64_t wait_ms =
-        this->lists_read ? this->settings.list_wait_ms : 0;
+        this->lists_read && !restarted ? this->settings.list_wait_ms : 0;
     this->port.RenewLeases(
-        {this->fence, this->acknowledged_end, this->LeaseUntil(), wait_ms,
+        {this->fence, this->acknowledged_end,
+         restarted ? 0 : this->LeaseUntil(), wait_ms,
          this->description.incarnation.id},
         now.After(wait_ms + this->settings.answer_timeout_ms),
         [this, alive = this->alive, generation = this->lease_call_generation,
@@ -445,11 +479,23 @@
       return;
     }
     this->refusals = 0;
+    if (this->restarted_born_ms.has_value()) {
+      this->OnRestartedLists(reply, sent);
+      return;
+    }
     if (reply.born_ms != 0 && reply.born_ms != life.born_ms) {
+      if (this->MayHoldRuns(life.id)) {
+        this->OnRestart(reply.born_ms);
+        return;
+      }
       this->EndIncarnation("the worker restarted", this->ExitKind());
       this->ScheduleLeaseCall(this->settings.retry_delay_ms);
       return;
     }
+    this->ApplyLists(reply, sent);
+  }
+
+  void ApplyLists(const LeaseReply& reply, Instant sent) {
     this->UpdateWorkerClock(reply.worker_clock_ms);
     const bool first = !std::exchange(this->lists_read, true);
     this->lists_read_at = BootClock{}.Now();
@@ -484,16 +530,75 @@
     this->ScheduleLeaseCall(this->settings.retry_delay_ms);
   }
 
+  // The worker has started again under its id, and a start for the earlier
+  // process may have reached the new one or may still do so. The planner keeps
+  // these runs assigned until they are stopped, or it would start them
+  // elsewhere while they run.
+  void OnRestart(std::int64_t born_ms) {
+    if (this->restarted_born_ms == born_ms) {
+      return;
+    }
+    Log(LogLevel::kWarning, "worker_restarted",
+        {{"worker", this->description.incarnation.id.value},
+         {"earlier_born_ms",
+          std::to_string(this->description.incarnation.born_ms)},
+         {"born_ms", std::to_string(born_ms)}});
+    if (!this->restarted_born_ms.has_value()) {
+      this->restart_exit = this->ExitKind();
+    }
+    this->restarted_born_ms = born_ms;
+    if (this->successor.has_value() &&
+        this->successor->description.incarnation.born_ms != born_ms) {
+      this->successor.reset();
+    }
+    this->description.availability = workload::WorkerAvailability::kAbsent;
+    this->ResetWorkerState();
+    this->runs.OnWorkerRestarted(this->restart_exit, BootClock{}.Now());
+    this->Report();
+    this->SendDue();
+    this->ScheduleLeaseCall(0);
+  }
+
+  void OnRestartedLists(const LeaseReply& reply, Instant sent) {
+    if (reply.born_ms != 0 && reply.born_ms != *this->restarted_born_ms) {
+      this->OnRestart(reply.born_ms);
+      return;
+    }
+    this->runs.OnLists(reply, sent, BootClock{}.Now());
+    if (!this->runs.AllEnded()) {
+      this->SendDue();
+      this->ScheduleLeaseCall(this->settings.ack_poll_delay_ms);
+      return;
+    }
+    this->EndIncarnation("the worker restarted", this->restart_exit);
+    if (!this->successor.has_value()) {
+      this->ScheduleLeaseCall(this->settings.retry_delay_ms);
+      return;
+    }
+    // The lists of the new process may contain ends of these runs, so they are
+    // reported together with it.
+    const WorkerHeartbeat next = *this->successor;
+    this->SetDescription(next);
+    this->ApplyLists(reply, sent);
+  }
+
   void BeginIncarnation() {
+    this->ResetWorkerState();
     this->runs.Reset();
-    this->pace.Reset();
     this->lists_read = false;
     this->exited = false;
+    this->successor.reset();
+    this->ScheduleLeaseCall(0);
+  }
+
+  /// Clears what is known about the worker's process.
+  void ResetWorkerState() {
+    ++this->worker_process;
+    this->pace.Reset();
     this->refusals = 0;
     this->acknowledged_end = 0;
     this->listed_end = 0;
     this->worker_clock.reset();
-    this->ScheduleLeaseCall(0);
   }
 
   // The runs of an incarnation that has ended are reported as lost until the
@@ -511,6 +616,7 @@
       this->last_crashed = this->description.incarnation;
     }
     this->refusals = 0;
+    this->restarted_born_ms.reset();
     this->description.availability = workload::WorkerAvailability::kAbsent;
     this->runs.OnWorkerGone(exit);
     this->Report();
@@ -537,6 +643,14 @@
   /// The worker's process is known to have exited.
   bool exited = false;
   std::uint32_t refusals = 0;
+  /// Start time of the worker's new process, while the runs ordered from the
+  /// earlier one are being stopped there.
+  std::optional<std::int64_t> restarted_born_ms;
+  WorkerExit restart_exit = WorkerExit::kCrash;
+  /// Latest heartbeat of the new process; followed once those runs have ended.
+  std::optional<WorkerHeartbeat> successor;
+  /// Incremented when another process of the worker is followed or detected.
+  std::uint64_t worker_process = 0;
   std::uint64_t epoch = 0;
   std::uint64_t last_exchange = 0;
   /// Until when the planner lets this agent renew leases (boot clock).
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -240,6 +240,42 @@
         workload::RunEnd::kWorkerCrashed);
 }
 
+TEST_CASE("runs of a restarted worker end once it cannot start them again") {
+  // Guards against starts for the earlier process that run in the new one while
+  // the planner starts the task elsewhere.
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{400});
+  table.OnWorkerRestarted(WorkerExit::kCrash, Instant{500});
+  CHECK(!table.AllEnded());
+  const DueOrders due = table.TakeDue(Instant{500});
+  CHECK(due.starts.empty());
+  REQUIRE(due.stops.size() == 1);
+  table.OnLists(MakeReply(true), Instant{505}, Instant{510});
+  CHECK(!table.AllEnded());
+  table.OnStop(kRun, OrderResult::kDone, Instant{520});
+  table.OnLists(MakeReply(true), Instant{530}, Instant{535});
+  CHECK(!table.AllEnded());
+  SUBCASE("not listed any more") {
+    table.OnLists(MakeReply(false), Instant{700}, Instant{705});
+    REQUIRE(table.AllEnded());
+    REQUIRE(table.Ends().size() == 1);
+    CHECK(table.Ends()[0].end == workload::RunEnd::kWorkerCrashed);
+  }
+  SUBCASE("done in the new process before the stop") {
+    table.OnLists(
+        MakeReply(false, {{1, kTask, 3, workload::RunEnd::kDone, ""}}),
+        Instant{700}, Instant{705});
+    REQUIRE(table.AllEnded());
+    table.OnWorkerGone(WorkerExit::kCrash);
+    REQUIRE(table.Ends().size() == 1);
+    CHECK(table.Ends()[0].end == workload::RunEnd::kDone);
+    // The number counts the ends of the new process.
+    CHECK(table.Ends()[0].number == 0);
+  }
+}
+
 TEST_CASE("a run that is ordered after the worker has exited ends at once") {
   // Guards against a task that waits for the worker's restart.
   RunTable table({});
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -2,10 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace carobrill::worker_agent {
 namespace {
@@ -47,14 +49,65 @@
   int starts = 0;
 };
 
+/// A worker that lists the runs that it was told to start until the test ends
+/// them.
+struct SimulatedWorker {
+  void Start(const StartOrder& order,
+             Instant,
+             const std::function<void(StartReply)>& done) {
+    this->running.push_back({order.task, order.run, 10, {}, 0});
+    done({OrderResult::kDone, 1});
+  }
+  void Stop(const StopOrder&,
+            Instant,
+            const std::function<void(OrderResult)>& done) {
+    ++this->stops;
+    done(OrderResult::kDone);
+  }
+  void Throttle(const PaceOrder&,
+                Instant,
+                const std::function<void(OrderResult)>& done) const {
+    done(OrderResult::kDone);
+  }
+  void RenewLeases(const LeaseRequest&,
+                   Instant,
+                   const std::function<void(LeaseReply)>& done) const {
+    // Short waits of the agent, so that its calls do not follow without pause.
+    g_usleep(1'000);
+    LeaseReply reply;
+    reply.result =
+        this->refusing ? OrderResult::kUnreachable : OrderResult::kDone;
+    reply.worker_clock_ms = 1;
+    reply.born_ms = this->born_ms;
+    reply.running = this->running;
+    reply.ended = this->ended;
+    done(reply);
+  }
+
+  void EndRuns(workload::RunEnd end) {
+    for (const ListedRun& run : this->running) {
+      this->ended.push_back(
+          {this->ended.size() + 1, run.task, run.run, end, {}});
+    }
+    this->running.clear();
+  }
+
+  std::atomic<std::int64_t> born_ms = 0;
+  std::atomic<bool> refusing = false;
+  std::vector<ListedRun> running;
+  std::vector<ListedRunEnd> ended;
+  int stops = 0;
+};
+
 constexpr std::int64_t kLeaseMs = 60'000;
 constexpr const char* kJobId = "0123456789abcdef";
 
+template <typename Port = FakePort>
 class AgentFixture {
  public:
   AgentFixture() : task("test") {
     this->task.Run([this] {
-      this->agent = std::make_unique<WorkerAgent<FakePort>>(
+      this->agent = std::make_unique<WorkerAgent<Port>>(
           this->task, this->port, 1, WorkerAgentSettings{}, this->metrics);
     });
   }
@@ -107,15 +160,15 @@
   }
 
   Task task;
-  FakePort port;
+  Port port;
   MetricsRegistry metrics;
-  std::unique_ptr<WorkerAgent<FakePort>> agent;
+  std::unique_ptr<WorkerAgent<Port>> agent;
   std::uint64_t sequence = 0;
   std::uint64_t exchanges = 0;
 };
 
 TEST_CASE("a worker that restarts unannounced is reported as crashed") {
-  AgentFixture fixture;
+  AgentFixture<> fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Order(10);
   fixture.port.listed = false;
@@ -127,7 +180,7 @@
 }
 
 TEST_CASE("a worker that was draining before it ended has not crashed") {
-  AgentFixture fixture;
+  AgentFixture<> fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Order(10);
   fixture.Heartbeat(10, WorkerAvailability::kDraining);
@@ -136,9 +189,64 @@
   CHECK(fixture.Exchange().crashed_worker().id().empty());
 }
 
+void CheckRestartedWhileRunning(AgentFixture<SimulatedWorker>& fixture) {
+  const auto during = fixture.Exchange();
+  CHECK(during.worker().born_unix_ms() == 10);
+  CHECK(static_cast<WorkerAvailability>(during.availability()) ==
+        WorkerAvailability::kAbsent);
+  CHECK(during.ended_size() == 0);
+  CHECK(fixture.port.stops > 0);
+}
+
+TEST_CASE("runs are not lost while a restarted worker may execute them") {
+  // Guards against two runs of one task: a start for the earlier process of the
+  // worker is carried out by the new one, which has the same id.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.born_ms = 20;
+  SUBCASE("reported by a heartbeat") {
+    fixture.Heartbeat(20, WorkerAvailability::kReady);
+    CheckRestartedWhileRunning(fixture);
+  }
+  SUBCASE("told from its lists") {
+    g_usleep(100'000);
+    CheckRestartedWhileRunning(fixture);
+    fixture.Heartbeat(20, WorkerAvailability::kReady);
+    CheckRestartedWhileRunning(fixture);
+  }
+  fixture.task.Run([&] { fixture.port.EndRuns(workload::RunEnd::kDone); });
+  g_usleep(200'000);
+  const auto after = fixture.Exchange();
+  CHECK(after.worker().born_unix_ms() == 20);
+  CHECK(static_cast<WorkerAvailability>(after.availability()) ==
+        WorkerAvailability::kReady);
+  REQUIRE(after.ended_size() == 1);
+  CHECK(static_cast<workload::RunEnd>(after.ended(0).end()) ==
+        workload::RunEnd::kDone);
+}
+
+TEST_CASE("runs end with a restarted worker that goes before its heartbeat") {
+  // Guards against tasks that wait for ever for a worker that is gone.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.born_ms = 20;
+  g_usleep(100'000);
+  CHECK(fixture.Exchange().ended_size() == 0);
+  fixture.port.refusing = true;
+  g_usleep(600'000);
+  const auto reply = fixture.Exchange();
+  REQUIRE(reply.ended_size() == 1);
+  CHECK(static_cast<workload::RunEnd>(reply.ended(0).end()) ==
+        workload::RunEnd::kWorkerCrashed);
+}
+
 TEST_CASE("a change of the worker's capacity is reported at once") {
   // Guards against starts beyond a capacity that has shrunk.
-  AgentFixture fixture;
+  AgentFixture<> fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   const auto before = fixture.Exchange();
   fixture.Heartbeat(10, WorkerAvailability::kReady, /*cpu_millis=*/16'000);
@@ -149,7 +257,7 @@
 
 TEST_CASE("an order from before the worker's capacity shrank is not started") {
   // Guards against delayed orders that exceed the capacity of a worker.
-  AgentFixture fixture;
+  AgentFixture<> fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Heartbeat(10, WorkerAvailability::kReady, /*cpu_millis=*/16'000);
   const auto reply = fixture.Order(10, /*cpu_millis=*/20'000);
@@ -161,7 +269,7 @@
 
 TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
   // Guards against orders to a server that has left.
-  AgentFixture fixture;
+  AgentFixture<> fixture;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   const auto availability = [&] {
     return static_cast<WorkerAvailability>(fixture.Exchange().availability());
