End the runs of a worker that is lost while its agent restarts

Cause: a new agent process knows no worker until it hears a heartbeat. The planner ended runs only if the agent could not be reached after the lease, or named another incarnation of its worker. An agent without a worker met neither, and each exchange granted it a further lease, which nobody renewed.

Change: an agent that names no worker is granted no lease, and the runs of its earlier worker end with the last one. To a new planner the first report of an agent counts as a grant, because an earlier planner may have granted a lease just before; until now that report reset the expiry to nothing. Agents renew the leases at once when they are granted the first one.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -91,11 +91,17 @@
 void WorkerLink::GrantLease(rpc::ExchangeRequest& request, Instant now) {
   const std::int64_t granted_ms =
       std::min(this->settings.lease_ms, this->lease_limit.RemainingMs(now));
-  if (!this->connected || granted_ms <= 0) {
+  // An agent that knows no worker renews no lease, so none is granted. The runs
+  // of its earlier worker then end with the last lease.
+  if (!this->connected || this->worker.id().empty() || granted_ms <= 0) {
     return;
   }
   request.set_authority_until_agent_ms(now.ms + this->clock_offset_ms +
                                        granted_ms);
+  this->ExtendLease(now, granted_ms);
+}
+
+void WorkerLink::ExtendLease(Instant now, std::int64_t granted_ms) {
   this->lease_expires_at =
       std::max(this->lease_expires_at,
                now.After(granted_ms * (100 + kClockDriftPercent) / 100 +
@@ -193,6 +199,11 @@
   // never too large.
   this->clock_offset_ms = reply.agent_clock_ms() - BootClock{}.Now().ms;
   this->connected = true;
+  // An earlier planner may have granted a lease until just before the agent
+  // followed this one.
+  if (!std::exchange(this->has_reported, true)) {
+    this->ExtendLease(BootClock{}.Now(), this->settings.lease_ms);
+  }
   if (reply.worker().id() != this->worker.id() ||
       reply.worker().born_unix_ms() != this->worker.born_unix_ms()) {
     this->worker = reply.worker();
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -94,6 +94,7 @@
   void OnFailure(const rpc::RpcResult<rpc::ExchangeReply>& reply);
   void ApplyReport(const rpc::ExchangeReply& reply);
   void GrantLease(rpc::ExchangeRequest& request, Instant now);
+  void ExtendLease(Instant now, std::int64_t granted_ms);
 
   Task& task;
   InstanceId agent;
@@ -107,6 +108,8 @@
   std::uint64_t sequence = 0;
   bool connected = false;
   bool has_failed = false;
+  /// The agent has answered this planner.
+  bool has_reported = false;
   /// Agent clock minus boot clock of this process. Never greater than the true
   /// difference.
   std::int64_t clock_offset_ms = 0;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -188,6 +188,7 @@
   }
 
   void ApplyRequest(const rpc::ExchangeRequest& request) {
+    const bool had_lease = this->lease_limit > BootClock{}.Now();
     this->lease_limit = std::max(this->lease_limit,
                                  Instant{request.authority_until_agent_ms()});
     const bool same_incarnation =
@@ -217,8 +218,12 @@
     }
     this->runs.SetDesired(std::move(desired), BootClock{}.Now());
     this->SendDue();
-    if (this->lease_call_delayed &&
-        this->acknowledged_end >= this->listed_end) {
+    const bool ends_acknowledged =
+        this->lease_call_delayed && this->acknowledged_end >= this->listed_end;
+    // The call that waits for the worker's next run end renews no lease.
+    const bool first_lease =
+        !had_lease && this->lists_read && this->LeaseUntil() != 0;
+    if (ends_acknowledged || first_lease) {
       this->ScheduleLeaseCall(0);
     }
   }
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -239,12 +239,14 @@
       ++worker;
     }
     const bool known = worker != this->workers.end() && worker->first == agent;
-    const bool expired = known ? !worker->second.reachable &&
-                                     time.now >= worker->second.lease_expires_at
-                               : time.now >= this->unknown_workers_lost_at;
+    // An agent that has just started does not know its worker until it hears a
+    // heartbeat, and does not renew its leases.
     const bool knows_incarnation =
         known && worker->second.reachable &&
         !worker->second.description.incarnation.id.empty();
+    const Instant lost_at =
+        known ? worker->second.lease_expires_at : this->unknown_workers_lost_at;
+    const bool expired = !knows_incarnation && time.now >= lost_at;
     for (const ActiveRun& run : runs_here) {
       if (expired ||
           (knows_incarnation &&
--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -10,6 +10,77 @@
 namespace carobrill::gateway {
 namespace {
 
+/// A link whose exchanges are answered by the test.
+class LinkFixture {
+ public:
+  LinkFixture() : task("test") {
+    WorkerLinkCallbacks callbacks;
+    callbacks.on_report = [this](const InstanceId&, const rpc::ExchangeReply&,
+                                 Instant lease_expires_at) {
+      this->lease_expires_at = lease_expires_at;
+    };
+    callbacks.on_orders_dropped = [](const InstanceId&) {};
+    this->task.Run([&] {
+      this->link = std::make_unique<WorkerLink>(
+          this->task, InstanceId("a"), "a", 1, this->settings,
+          [this](const std::string&, const rpc::ExchangeRequest& request,
+                 Instant, rpc::RpcCallback<rpc::ExchangeReply> callback) {
+            this->request = request;
+            this->callback = std::move(callback);
+          },
+          callbacks);
+      this->link->SetLeaseLimit(BootClock{}.Now().After(60'000));
+    });
+  }
+  ~LinkFixture() {
+    this->task.Run([this] { this->link.reset(); });
+  }
+
+  /// Answers the open exchange; the link then sends the next one.
+  void Report(const std::string& worker, std::uint64_t agent_incarnation) {
+    this->task.Run([&] {
+      rpc::RpcResult<rpc::ExchangeReply> reply;
+      reply.value.set_accepted(true);
+      reply.value.set_agent_incarnation(agent_incarnation);
+      reply.value.mutable_worker()->set_id(worker);
+      reply.value.set_agent_clock_ms(BootClock{}.Now().ms);
+      const auto answer = std::exchange(this->callback, nullptr);
+      answer(reply);
+    });
+  }
+
+  WorkerLinkSettings settings;
+  Task task;
+  std::unique_ptr<WorkerLink> link;
+  rpc::ExchangeRequest request;
+  rpc::RpcCallback<rpc::ExchangeReply> callback;
+  Instant lease_expires_at;
+};
+
+TEST_CASE("a restarted agent is granted no lease before it knows its worker") {
+  // Guards against leases that never expire after the worker is gone.
+  LinkFixture fixture;
+  fixture.Report("w", 1);
+  CHECK(fixture.request.authority_until_agent_ms() > 0);
+  fixture.Report("", 2);
+  const Instant expiry = fixture.lease_expires_at;
+  CHECK(fixture.request.authority_until_agent_ms() == 0);
+  g_usleep(20'000);
+  fixture.Report("", 2);
+  CHECK(fixture.lease_expires_at == expiry);
+  fixture.Report("w", 2);
+  CHECK(fixture.request.authority_until_agent_ms() > 0);
+}
+
+TEST_CASE("the first report does not end a lease of an earlier planner") {
+  // Guards against a task that is started elsewhere while its worker holds a
+  // lease that the earlier planner granted just before.
+  LinkFixture fixture;
+  const Instant before = BootClock{}.Now();
+  fixture.Report("", 1);
+  CHECK(fixture.lease_expires_at >= before.After(fixture.settings.lease_ms));
+}
+
 TEST_CASE("an order carries what the run takes of the worker's capacity") {
   // Guards against an agent that cannot check a capacity that has shrunk.
   Task task("test");
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -66,6 +66,29 @@
   CHECK(fixture.ActiveTasks().begin()->second.run == 2);
 }
 
+TEST_CASE("runs end with the lease if the restarted agent finds no worker") {
+  // Guards against a job that waits for ever after its worker and the agent of
+  // that worker were lost together.
+  PlannerFixture fixture(2);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 8})));
+  fixture.Plan();
+  const auto first = fixture.ActiveTasks().begin()->second.worker;
+  const std::uint32_t lost =
+      first.agent.value == PlannerFixture::WorkerName(0) ? 0 : 1;
+  fixture.now.ms += 5'900;
+  fixture.ReportWorker(1 - lost);
+  fixture.ReportWithoutWorker(lost);
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().begin()->second.worker == first);
+  fixture.now.ms += 200;
+  fixture.ReportWorker(1 - lost);
+  fixture.ReportWithoutWorker(lost);
+  fixture.Plan();
+  REQUIRE(!fixture.ActiveTasks().empty());
+  CHECK(fixture.ActiveTasks().begin()->second.worker != first);
+  CHECK(fixture.ActiveTasks().begin()->second.run == 2);
+}
+
 TEST_CASE("a gang starts completely, with one run number, or not at all") {
   // Guards against gang members that wait for others that never start.
   PlannerFixture fixture(2);
--- a/tests/workload/planner_fixture.cc
+++ b/tests/workload/planner_fixture.cc
@@ -76,6 +76,15 @@
   this->planner.MarkWorkerUnreachable(InstanceId(WorkerName(worker)));
 }
 
+void PlannerFixture::ReportWithoutWorker(std::uint32_t worker) {
+  const InstanceId agent(WorkerName(worker));
+  WorkerDescription description;
+  description.incarnation.agent = agent;
+  this->planner.UpdateWorker(agent, description,
+                             this->planner.Workers().at(agent).lease_expires_at,
+                             this->Time());
+}
+
 void PlannerFixture::Plan() {
   this->planner.Plan(this->Time());
   const std::uint64_t commit = this->planner.NextCommit();
--- a/tests/workload/planner_fixture.h
+++ b/tests/workload/planner_fixture.h
@@ -40,6 +40,10 @@
   /// report.
   void MarkUnreachable(std::uint32_t worker);
 
+  /// Reports that the worker's agent has restarted and knows no worker. The
+  /// lease expires 6 s after the worker's last report.
+  void ReportWithoutWorker(std::uint32_t worker);
+
   /// Runs a planning pass, then reports every ordered run as running.
   void Plan();
 
