Follow a heartbeat only after the worker has answered as it names

Cause: an agent followed any heartbeat whose start time was not lower. One of another writer, with another id or start time, ended the runs of the worker as crashed; the planner started them elsewhere while the worker went on. The next heartbeat of the worker revived it, and so on. A DELETE from anyone did the same.

Change: a heartbeat that names another incarnation than the present one leads to a call to the worker, addressed to that id. It is followed only if the worker answers with that start time; its lists then come with it. A shutdown notice ends the runs when the worker stops answering. Start times of heartbeats are no longer compared, so a clock that was set back does not lock a worker out.

The fixture's worker now answers for its own id only.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -2,7 +2,9 @@
 #define PACKAGES_WORKER_AGENT_WORKER_AGENT_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +37,12 @@
   /// Number of consecutive refused connections after which the worker's process
   /// is considered to have exited.
   std::uint32_t max_refused_connections = 2;
+  /// How long an unanswered worker is asked whether it is the incarnation that
+  /// a heartbeat names. Heartbeats follow more often than this.
+  std::int64_t candidate_timeout_ms = 5'000;
+  /// How long a worker may answer after it has announced its shutdown. If it
+  /// still answers then, the announcement was not its own.
+  std::int64_t shutdown_timeout_ms = 1'000;
   RunTableSettings runs;
   PaceSettings pace;
 };
@@ -68,37 +76,44 @@
   /// Starts the loop that renews the leases and reads the worker's lists.
   void Start() { this->ScheduleLeaseCall(0); }
 
-  /// Handles a heartbeat of the worker. Ignores heartbeats of an earlier
-  /// incarnation or one that has exited, and those that arrive out of order.
-  void OnHeartbeat(const WorkerHeartbeat& heartbeat) {
+  /// Handles a heartbeat. Anyone may send one, so one that names another
+  /// incarnation than the present one is followed only after the worker has
+  /// answered as that incarnation. Ignores heartbeats of an incarnation that
+  /// has exited, and those that arrive out of order. Calls `done` with whether
+  /// the worker is followed as described.
+  void OnHeartbeat(const WorkerHeartbeat& heartbeat,
+                   std::function<void(bool)> done) {
     const auto& life = heartbeat.description.incarnation;
-    const std::int64_t latest_born_ms =
-        this->restarted_born_ms.value_or(this->description.incarnation.born_ms);
-    if (life.born_ms < latest_born_ms ||
-        (life == this->description.incarnation &&
-         (heartbeat.sequence < this->sequence || this->exited))) {
+    if (life != this->description.incarnation) {
+      this->VerifyIncarnation(heartbeat, std::move(done));
+      return;
+    }
+    if (heartbeat.sequence < this->sequence || this->exited || this->leaving ||
+        this->restarted_born_ms.has_value()) {
       Log(LogLevel::kInfo, "ignoring outdated heartbeat",
           {{"worker", life.id.value},
            {"sequence", std::to_string(heartbeat.sequence)}});
-      return;
-    }
-    const bool new_incarnation = life != this->description.incarnation;
-    if (new_incarnation && this->MayHoldRuns(life.id)) {
-      this->successor = heartbeat;
-      this->OnRestart(life.born_ms);
-      return;
-    }
-    if (new_incarnation && !this->description.incarnation.id.empty()) {
-      this->EndIncarnation("a new incarnation reports", this->ExitKind());
+    } else if (this->SetDescription(heartbeat)) {
+      this->Report();
+      this->SendDue();
     }
-    this->Follow(heartbeat);
+    done(true);
   }
 
-  /// Handles a planned shutdown of the worker.
+  /// Handles a notice of the worker's planned shutdown. The runs end as soon as
+  /// the worker does not answer any more: the notice may be late, from an
+  /// earlier process under the same id, or from another sender.
   void OnWorkerShutdown(const WorkerId& worker) {
-    if (worker == this->description.incarnation.id) {
-      this->EndIncarnation("left", WorkerExit::kShutdown);
+    if (worker != this->description.incarnation.id || this->exited ||
+        this->leaving) {
+      return;
     }
+    this->leaving = true;
+    this->description.availability = workload::WorkerAvailability::kAbsent;
+    this->runs.SetDraining(true);
+    this->Report();
+    this->VerifyShutdown(
+        BootClock{}.Now().After(this->settings.shutdown_timeout_ms));
   }
 
   /// Handles one exchange with a planner.
@@ -149,13 +164,6 @@
            !this->runs.AllEnded();
   }
 
-  void Follow(const WorkerHeartbeat& heartbeat) {
-    if (this->SetDescription(heartbeat)) {
-      this->Report();
-      this->SendDue();
-    }
-  }
-
   /// Takes over the worker's description. Returns whether it has changed.
   bool SetDescription(const WorkerHeartbeat& heartbeat) {
     const auto& life = heartbeat.description.incarnation;
@@ -182,9 +190,166 @@
     return changed;
   }
 
+  /// A heartbeat of an incarnation that has not been verified.
+  struct Candidate {
+    WorkerHeartbeat heartbeat;
+    Instant expires_at;
+  };
+
+  std::vector<Candidate>::iterator FindCandidate(
+      const workload::WorkerIncarnation& life) {
+    return std::ranges::find_if(
+        this->candidates, [&](const Candidate& candidate) {
+          return candidate.heartbeat.description.incarnation == life;
+        });
+  }
+
+  void VerifyIncarnation(const WorkerHeartbeat& heartbeat,
+                         std::function<void(bool)> done) {
+    const auto& life = heartbeat.description.incarnation;
+    const Instant expires_at =
+        BootClock{}.Now().After(this->settings.candidate_timeout_ms);
+    const auto known = this->FindCandidate(life);
+    if (known != this->candidates.end()) {
+      if (heartbeat.sequence >= known->heartbeat.sequence) {
+        *known = {heartbeat, expires_at};
+      }
+    } else {
+      if (this->candidates.size() >= kMaxCandidates) {
+        this->candidates.erase(this->candidates.begin());
+      }
+      this->candidates.push_back({heartbeat, expires_at});
+    }
+    this->SendVerification(life, std::move(done));
+  }
+
+  // Reads the worker's lists. They are addressed to the candidate's id, and
+  // contain the start time of the process that answers.
+  void SendVerification(const workload::WorkerIncarnation& life,
+                        std::function<void(bool)> done) {
+    const Instant now = BootClock{}.Now();
+    this->port.RenewLeases(
+        {this->fence, 0, 0, 0, life.id},
+        now.After(this->settings.answer_timeout_ms),
+        [this, alive = this->alive, life, done = std::move(done),
+         sent = now](const LeaseReply& reply) {
+          if (*alive) {
+            this->OnVerification(life, reply, sent, done);
+          }
+        });
+  }
+
+  void OnVerification(const workload::WorkerIncarnation& life,
+                      const LeaseReply& reply,
+                      Instant sent,
+                      const std::function<void(bool)>& done) {
+    const auto candidate = this->FindCandidate(life);
+    if (candidate == this->candidates.end()) {
+      done(life == this->description.incarnation);
+      return;
+    }
+    const bool answered = reply.result == OrderResult::kDone;
+    if (answered && this->IsStartTime(life, reply.born_ms)) {
+      const WorkerHeartbeat heartbeat = candidate->heartbeat;
+      this->candidates.clear();
+      this->FollowIncarnation(heartbeat, reply, sent);
+      done(true);
+      return;
+    }
+    if (answered || reply.result == OrderResult::kOtherIncarnation ||
+        sent >= candidate->expires_at) {
+      Log(LogLevel::kWarning, "heartbeat_refuted",
+          {{"worker", life.id.value},
+           {"born_ms", std::to_string(life.born_ms)},
+           {"result", std::string(NameOf(reply.result))},
+           {"answered_born_ms", std::to_string(reply.born_ms)},
+           {"present_worker", this->description.incarnation.id.value}});
+      this->candidates.erase(candidate);
+      done(false);
+      return;
+    }
+    if (reply.result == OrderResult::kFenced) {
+      this->RaiseFence();
+    }
+    this->task.PostAt(
+        BootClock{}.Now().After(this->settings.retry_delay_ms),
+        [this, alive = this->alive, life] {
+          if (*alive && this->FindCandidate(life) != this->candidates.end()) {
+            this->SendVerification(life, [](bool) {});
+          }
+        });
+    done(false);
+  }
+
+  // Lists without a start time prove only the id.
+  bool IsStartTime(const workload::WorkerIncarnation& life,
+                   std::int64_t answered_born_ms) const {
+    return answered_born_ms != 0
+               ? answered_born_ms == life.born_ms
+               : life.born_ms > this->description.incarnation.born_ms;
+  }
+
+  /// Follows an incarnation that has answered with its lists.
+  void FollowIncarnation(const WorkerHeartbeat& heartbeat,
+                         const LeaseReply& lists,
+                         Instant sent) {
+    const auto& life = heartbeat.description.incarnation;
+    if (this->MayHoldRuns(life.id)) {
+      this->successor = heartbeat;
+      this->OnRestart(life.born_ms);
+      return;
+    }
+    if (!this->description.incarnation.id.empty()) {
+      this->EndIncarnation("a new incarnation reports", this->ExitKind());
+    }
+    this->SetDescription(heartbeat);
+    this->ApplyLists(lists, sent);
+  }
+
+  void VerifyShutdown(Instant deadline) {
+    const Instant now = BootClock{}.Now();
+    this->port.RenewLeases(
+        {this->fence, 0, 0, 0, this->description.incarnation.id},
+        now.After(this->settings.answer_timeout_ms),
+        [this, alive = this->alive, deadline,
+         process = this->worker_process](const LeaseReply& reply) {
+          if (*alive && process == this->worker_process && !this->exited) {
+            this->OnShutdownVerification(reply, deadline);
+          }
+        });
+  }
+
+  void OnShutdownVerification(const LeaseReply& reply, Instant deadline) {
+    const std::int64_t born_ms =
+        this->restarted_born_ms.value_or(this->description.incarnation.born_ms);
+    const bool at_work = reply.result == OrderResult::kFenced ||
+                         (reply.result == OrderResult::kDone &&
+                          (reply.born_ms == 0 || reply.born_ms == born_ms));
+    if (!at_work) {
+      this->EndIncarnation("left", WorkerExit::kShutdown);
+      return;
+    }
+    if (BootClock{}.Now() >= deadline) {
+      Log(LogLevel::kWarning, "shutdown_refuted",
+          {{"worker", this->description.incarnation.id.value},
+           {"born_ms", std::to_string(born_ms)}});
+      // The next heartbeat tells whether the worker accepts tasks.
+      this->leaving = false;
+      return;
+    }
+    this->task.PostAt(
+        BootClock{}.Now().After(this->settings.retry_delay_ms),
+        [this, alive = this->alive, deadline, process = this->worker_process] {
+          if (*alive && process == this->worker_process && !this->exited) {
+            this->VerifyShutdown(deadline);
+          }
+        });
+  }
+
   /// A worker that is draining may end at any time.
   WorkerExit ExitKind() const {
-    return this->Draining() ? WorkerExit::kShutdown : WorkerExit::kCrash;
+    return this->Draining() || this->leaving ? WorkerExit::kShutdown
+                                             : WorkerExit::kCrash;
   }
 
   void ApplyRequest(const rpc::ExchangeRequest& request) {
@@ -398,10 +563,14 @@
 
   // A rejected fence means that an earlier process of this agent sent orders
   // with a higher fence, because the clock was set back in between.
-  void OnOrderResult(OrderResult result) {
+  void RaiseFence() {
     constexpr std::uint64_t kFenceStep = 10'000;
+    this->fence += kFenceStep;
+  }
+
+  void OnOrderResult(OrderResult result) {
     if (result == OrderResult::kFenced) {
-      this->fence += kFenceStep;
+      this->RaiseFence();
     } else if (result == OrderResult::kOtherIncarnation) {
       this->EndIncarnation("another incarnation answered", this->ExitKind());
       return;
@@ -592,8 +761,8 @@
     this->runs.Reset();
     this->lists_read = false;
     this->exited = false;
+    this->leaving = false;
     this->successor.reset();
-    this->ScheduleLeaseCall(0);
   }
 
   /// Clears what is known about the worker's process.
@@ -622,11 +791,15 @@
     }
     this->refusals = 0;
     this->restarted_born_ms.reset();
+    this->leaving = false;
     this->description.availability = workload::WorkerAvailability::kAbsent;
     this->runs.OnWorkerGone(exit);
     this->Report();
   }
 
+  /// Bounds what other senders' heartbeats occupy.
+  static constexpr std::size_t kMaxCandidates = 4;
+
   Task& task;
   Port& port;
   std::uint64_t incarnation;
@@ -647,6 +820,9 @@
   Instant lists_read_at;
   /// The worker's process is known to have exited.
   bool exited = false;
+  /// The worker's shutdown was announced, and it has not been found to be gone.
+  bool leaving = false;
+  std::vector<Candidate> candidates;
   std::uint32_t refusals = 0;
   /// Start time of the worker's new process, while the runs ordered from the
   /// earlier one are being stopped there.
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -69,14 +69,18 @@
                 const std::function<void(OrderResult)>& done) const {
     done(OrderResult::kDone);
   }
-  void RenewLeases(const LeaseRequest&,
+  void RenewLeases(const LeaseRequest& request,
                    Instant,
                    const std::function<void(LeaseReply)>& done) const {
     // Short waits of the agent, so that its calls do not follow without pause.
     g_usleep(1'000);
     LeaseReply reply;
-    reply.result =
-        this->refusing ? OrderResult::kUnreachable : OrderResult::kDone;
+    if (this->refusing || request.worker != WorkerId("w")) {
+      reply.result = this->refusing ? OrderResult::kUnreachable
+                                    : OrderResult::kOtherIncarnation;
+      done(reply);
+      return;
+    }
     reply.worker_clock_ms = 1;
     reply.born_ms = this->born_ms;
     reply.running = this->running;
@@ -117,21 +121,32 @@
 
   void Heartbeat(std::int64_t born_ms,
                  WorkerAvailability availability,
-                 std::int64_t cpu_millis = 32'000) {
+                 std::int64_t cpu_millis = 32'000,
+                 const std::string& id = "w") {
     this->task.Run([&] {
       WorkerHeartbeat heartbeat;
-      heartbeat.description.incarnation = {InstanceId("a"), WorkerId("w"),
+      heartbeat.description.incarnation = {InstanceId("a"), WorkerId(id),
                                            born_ms};
       heartbeat.description.availability = availability;
       heartbeat.description.capacity = {cpu_millis, 128'000, 8};
       heartbeat.sequence = ++this->sequence;
-      this->agent->OnHeartbeat(heartbeat);
+      this->agent->OnHeartbeat(heartbeat,
+                               [this](bool done) { this->followed = done; });
       this->agent->Start();
     });
     // The agent reads the lists on its task.
     g_usleep(20'000);
   }
 
+  /// Starts a new process of the worker, which runs nothing.
+  void Restart(std::int64_t born_ms) {
+    this->task.Run([&] {
+      this->port.running.clear();
+      this->port.ended.clear();
+      this->port.born_ms = born_ms;
+    });
+  }
+
   /// Orders one run on the incarnation, and returns the agent's report.
   rpc::ExchangeReply Order(std::int64_t born_ms, std::int64_t cpu_millis = 0) {
     rpc::ExchangeRequest request;
@@ -165,13 +180,16 @@
   std::unique_ptr<WorkerAgent<Port>> agent;
   std::uint64_t sequence = 0;
   std::uint64_t exchanges = 0;
+  /// The answer to the last heartbeat.
+  bool followed = false;
 };
 
 TEST_CASE("a worker that restarts unannounced is reported as crashed") {
-  AgentFixture<> fixture;
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Order(10);
-  fixture.port.listed = false;
+  fixture.Restart(20);
   fixture.Heartbeat(20, WorkerAvailability::kReady);
   const auto reply = fixture.Exchange();
   CHECK(reply.worker().born_unix_ms() == 20);
@@ -180,13 +198,16 @@
 }
 
 TEST_CASE("a worker that was draining before it ended has not crashed") {
-  AgentFixture<> fixture;
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
   fixture.Heartbeat(10, WorkerAvailability::kReady);
   fixture.Order(10);
   fixture.Heartbeat(10, WorkerAvailability::kDraining);
-  fixture.port.listed = false;
+  fixture.Restart(20);
   fixture.Heartbeat(20, WorkerAvailability::kReady);
-  CHECK(fixture.Exchange().crashed_worker().id().empty());
+  const auto reply = fixture.Exchange();
+  CHECK(reply.worker().born_unix_ms() == 20);
+  CHECK(reply.crashed_worker().id().empty());
 }
 
 void CheckRestartedWhileRunning(AgentFixture<SimulatedWorker>& fixture) {
@@ -244,6 +265,97 @@
         workload::RunEnd::kWorkerCrashed);
 }
 
+TEST_CASE("a heartbeat of another sender does not end the worker's runs") {
+  // Guards against tasks that run twice: a heartbeat with the address of the
+  // worker, but of another incarnation, made the agent report a crash.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  SUBCASE("another id, started later") {
+    fixture.Heartbeat(20, WorkerAvailability::kReady, 32'000, "other");
+  }
+  SUBCASE("another id, started at the same time") {
+    fixture.Heartbeat(10, WorkerAvailability::kReady, 32'000, "other");
+  }
+  SUBCASE("the same id, started later") {
+    fixture.Heartbeat(20, WorkerAvailability::kReady);
+  }
+  SUBCASE("the same id, started earlier") {
+    fixture.Heartbeat(5, WorkerAvailability::kReady);
+  }
+  CHECK(!fixture.followed);
+  const auto reply = fixture.Exchange();
+  CHECK(reply.worker().id() == "w");
+  CHECK(reply.worker().born_unix_ms() == 10);
+  CHECK(static_cast<WorkerAvailability>(reply.availability()) ==
+        WorkerAvailability::kReady);
+  CHECK(reply.running_size() == 1);
+  CHECK(reply.ended_size() == 0);
+  CHECK(fixture.port.stops == 0);
+}
+
+TEST_CASE("a worker is followed after a heartbeat of another sender") {
+  // Guards against a worker that is ignored because another sender named a
+  // later start time, or because the clock was set back between its processes.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(99, WorkerAvailability::kReady, 32'000, "other");
+  CHECK(fixture.Exchange().worker().id().empty());
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  CHECK(fixture.followed);
+  CHECK(fixture.Exchange().worker().born_unix_ms() == 10);
+  fixture.Restart(5);
+  fixture.Heartbeat(5, WorkerAvailability::kReady);
+  CHECK(fixture.Exchange().worker().born_unix_ms() == 5);
+}
+
+TEST_CASE(
+    "a worker that answers late is followed without a further heartbeat") {
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.port.refusing = true;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  CHECK(!fixture.followed);
+  CHECK(fixture.Exchange().worker().id().empty());
+  fixture.port.refusing = false;
+  g_usleep(300'000);
+  CHECK(fixture.Exchange().worker().id() == "w");
+}
+
+TEST_CASE("a worker that answers after its shutdown notice keeps its runs") {
+  // Guards against tasks that run twice after a notice that is late, from an
+  // earlier process of the worker, or from another sender.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.task.Run([&] { fixture.agent->OnWorkerShutdown(WorkerId("w")); });
+  CHECK(static_cast<WorkerAvailability>(fixture.Exchange().availability()) ==
+        WorkerAvailability::kAbsent);
+  g_usleep(1'300'000);
+  CHECK(fixture.Exchange().ended_size() == 0);
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  const auto reply = fixture.Exchange();
+  CHECK(static_cast<WorkerAvailability>(reply.availability()) ==
+        WorkerAvailability::kReady);
+  CHECK(reply.running_size() == 1);
+  CHECK(fixture.port.stops == 0);
+}
+
+TEST_CASE("a worker that is gone after its shutdown notice ends its runs") {
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.refusing = true;
+  fixture.task.Run([&] { fixture.agent->OnWorkerShutdown(WorkerId("w")); });
+  const auto reply = fixture.Exchange();
+  REQUIRE(reply.ended_size() == 1);
+  CHECK(static_cast<workload::RunEnd>(reply.ended(0).end()) ==
+        workload::RunEnd::kWorkerLost);
+}
+
 TEST_CASE("a change of the worker's capacity is reported at once") {
   // Guards against starts beyond a capacity that has shrunk.
   AgentFixture<> fixture;
