--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -130,6 +130,36 @@
   }
 }
 
+TEST_CASE("an odd row in a message is left out") {
+  // Guards against a process that ends by itself: writing a deeply nested row
+  // to the log overflowed the stack.
+  const std::string nested =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  const auto lists = detail::DecodeTaskLists(
+      R"({"clock_ms":5,"born":7,"running_tasks":[)" + nested +
+      R"(,["a.0.1.2",3,"c",41],["a.0.1.2",1e300,"",1],["a.0.1.2",-1,"",1],)"
+      R"(["a.0.1.3",4,"",1e300,1e300]],"ended_tasks":[)" +
+      nested +
+      R"(,[1e300,"a.0.1.9",1,"done",""],[-1,"a.0.1.9",1,"done",""],)"
+      R"([2,"a.0.1.9",1,"done",""]]})");
+  CHECK(lists.result == worker_agent::OrderResult::kDone);
+  REQUIRE(lists.running.size() == 2);
+  CHECK(lists.running[0].run == 3);
+  CHECK(lists.running[1].run == 4);
+  REQUIRE(lists.ended.size() == 1);
+  CHECK(lists.ended[0].number == 2);
+  const auto advice = detail::DecodeAdvice(R"({"valid_ms":5,"granted":[)" +
+                                           nested + R"(,["i-1","t"]]})");
+  REQUIRE(advice.granted.size() == 1);
+  CHECK(advice.granted[0].ticket == "t");
+  const auto configuration =
+      DecodeConfiguration(R"({"version":1700000000000000000,"routes":[)" +
+                          nested + R"(],"tenants":[{"name":"t","api_keys":[)" +
+                          nested + R"(,"k"]}],"limits":)" + nested + "}");
+  REQUIRE(configuration);
+  CHECK(configuration->account_by_key.size() == 1);
+}
+
 TEST_CASE("a configuration is read; a broken queue is left out") {
   auto configuration = DecodeConfiguration(
       R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",)"
