Reject heartbeats whose id, address or numbers are odd

What callers would see: a worker is taken for draining or for another one because of a heartbeat that names no worker; with an id that is not UTF-8 the planner loses contact with the agent.

Cause: any bytes were taken as an id, the address was not read, a missing start time was taken as 0, and numbers of any size were cast to integers.

Change: the id has to be plain text of at most 256 bytes, the address host:port, the start time positive, all numbers in range and the capacity not negative. The check of a port moves from the settings to core, which both use. The heartbeat in an existing test gains an address, as the protocol has it.

--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <map>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "packages/core/address.h"
 #include "packages/daemon/settings_source.h"
 #include "packages/daemon/settings_table.h"
 
@@ -54,13 +54,6 @@
          inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
 }
 
-bool IsPort(std::string_view text) {
-  std::uint16_t port = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, port);
-  return result.ec == std::errc() && result.ptr == end && port != 0;
-}
-
 // IPv6 addresses must be in brackets, as in URLs.
 bool IsAddressAndPort(std::string_view text) {
   const auto colon = text.rfind(':');
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/advice_client.h"
 #include "platform/configuration_codec.h"
 #include "platform/heartbeat_codec.h"
@@ -113,7 +115,8 @@
   const WorkerId worker("i-1");
   auto heartbeat = DecodeHeartbeat(
       agent, worker,
-      R"({"service":"s","zone":"z","state":"ready","seq":4,"born":9,)"
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"("seq":4,"born":9,)"
       R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1"]})");
   REQUIRE(heartbeat);
   CHECK(heartbeat->description.rack == RackId("r1"));
@@ -130,6 +133,60 @@
   }
 }
 
+TEST_CASE("an odd field makes a heartbeat name no worker") {
+  // Guards against numbers that are cast out of range, and against an id that
+  // is not UTF-8 in a message to the planner.
+  const nlohmann::json sound = {
+      {"service", "s"},   {"address", "10.0.0.9:8080"},
+      {"zone", "z"},      {"state", "ready"},
+      {"seq", 4},         {"born", 1'796'445'159'433},
+      {"labels", {"a"}},  {"capacity", {{"cpu", 1}, {"mem_mb", 1}}},
+      {"cold_left_ms", 0}};
+  const InstanceId agent("side-1");
+  const auto fails = [&](const WorkerId& worker, const std::string& body) {
+    return FailsToDecode([&] { return DecodeHeartbeat(agent, worker, body); });
+  };
+  REQUIRE(!fails(WorkerId("i-1"), sound.dump()));
+  for (const auto& [field, odd] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"born", "1e300"},
+           {"born", "-1"},
+           {"born", "null"},
+           {"born", "99999999999999999999999"},
+           {"seq", "1e300"},
+           {"seq", "-1"},
+           {"seq", "1e400"},
+           {"capacity", R"({"cpu":1e300,"mem_mb":1})"},
+           {"capacity", R"({"cpu":-1,"mem_mb":1})"},
+           {"address", R"("10.0.0.9:65536")"},
+           {"address", R"("10.0.0.9:0")"},
+           {"address", R"("10.0.0.9:-1")"},
+           {"address", R"("10.0.0.9")"},
+           {"address", "5"},
+           {"address", "null"},
+           {"state", R"("gone")"},
+           {"service", R"("")"},
+           {"labels", "[[]]"}}) {
+    CAPTURE(field);
+    CAPTURE(odd);
+    auto body = sound;
+    body[field] = "ODD";
+    std::string text = body.dump();
+    text.replace(text.find(R"("ODD")"), 5, odd);
+    CHECK(fails(WorkerId("i-1"), text));
+  }
+  const std::string nested =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  CHECK(fails(WorkerId("i-1"), nested));
+  CHECK(!fails(WorkerId("i-1"),
+               R"({"new":)" + nested + "," + sound.dump().substr(1)));
+  for (const std::string& id :
+       {std::string("\xff\xfe"), std::string("a\0b", 3), std::string("a b"),
+        std::string("a\r\nb"), std::string(1'000, 'x')}) {
+    CHECK(fails(WorkerId(id), sound.dump()));
+  }
+}
+
 TEST_CASE("an odd row in a message is left out") {
   // Guards against a process that ends by itself: writing a deeply nested row
   // to the log overflowed the stack.
