Keep an agent's address when another entry under its key is odd

What callers would see: the tasks of a worker are given up and run again elsewhere, and the worker gets no more tasks, although it and its agent are sound.

Cause: an entry that could not be decoded removed the agent, as an empty one does, and an entry with a port out of range replaced its address. The agent stored its address only once, so a gateway that started later did not find it either.

Evidence: with real processes, one odd entry under the key of the agent that runs all 16 tasks led to 32 runs, for each of six kinds of odd entry: port out of range, no host and port, nested text, nested groups, a number too large, control characters. The test of the entries failed before.

Change: an entry that is neither empty nor a valid address is logged and ignored.

--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -301,6 +301,13 @@
 
   void OnAddressRecord(const KeyedRecord& record) {
     const auto address = DecodeAddress(record.entry.value);
+    // An entry without a value has been removed.
+    if (!address.has_value() && !record.entry.value.empty()) {
+      Log(LogLevel::kWarning, "ignoring a malformed address",
+          {{"key", record.entry.key},
+           {"offset", std::to_string(record.offset)}});
+      return;
+    }
     if (record.entry.key.starts_with(kGatewayPrefix)) {
       const InstanceId gateway(record.entry.key.substr(kGatewayPrefix.size()));
       if (address.has_value() && gateway != this->settings.instance) {
--- a/packages/gateway/planner_records.cc
+++ b/packages/gateway/planner_records.cc
@@ -1,5 +1,6 @@
 #include "packages/gateway/planner_records.h"
 
+#include "packages/core/address.h"
 #include "packages/workload/workload.pb.h"
 
 namespace carobrill::gateway {
@@ -55,7 +56,7 @@
 
 std::optional<ProcessAddress> DecodeAddress(const std::string& bytes) {
   records::AgentRecord record;
-  if (!record.ParseFromString(bytes) || record.rpc_address().empty()) {
+  if (!record.ParseFromString(bytes) || !IsHostAndPort(record.rpc_address())) {
     return std::nullopt;
   }
   return ProcessAddress{record.rpc_address(), record.incarnation()};
--- a/packages/gateway/registration.h
+++ b/packages/gateway/registration.h
@@ -19,8 +19,10 @@
 template <KeyedLog LogStore>
 class Registration {
  public:
-  /// `log` must outlive this object.
-  Registration(Task& task, LogStore& log) : task(task), log(log) {}
+  /// `log` must outlive this object. `silence_ms` as in OnContact(); 0 to store
+  /// the entry only once.
+  Registration(Task& task, LogStore& log, std::int64_t silence_ms = 0)
+      : task(task), log(log), silence_ms(silence_ms) {}
 
   ~Registration() { *this->alive = false; }
 
@@ -29,6 +31,18 @@
 
   /// Stores `address` under `key`.
   void Start(const std::string& key, const ProcessAddress& address) {
+    this->Store(key, address);
+  }
+
+  /// A reader of the entry has used the address. The entry is stored again
+  /// whenever `silence_ms` pass without a call, because another writer may have
+  /// replaced it.
+  void OnContact() {
+    this->silent_at = BootClock{}.Now().After(this->silence_ms);
+  }
+
+ private:
+  void Store(const std::string& key, const ProcessAddress& address) {
     KeyedAppend append;
     append.topic = kAgentTopic;
     append.entries = {{key, EncodeAddress(address)}};
@@ -41,7 +55,6 @@
     });
   }
 
- private:
   /// Timeout of one append. The slowest supported stores answer after about 700
   /// ms.
   static constexpr std::int64_t kAppendTimeoutMs = 1'200;
@@ -55,18 +68,39 @@
          {"address", address.rpc_address},
          {"outcome", std::string(NameOf(failure))}});
     if (failure == KeyedLogFailure::kNone) {
+      if (this->silence_ms > 0) {
+        this->OnContact();
+        this->CheckSilence(key, address);
+      }
       return;
     }
     this->task.PostAt(BootClock{}.Now().After(kRetryDelayMs),
                       [this, alive = this->alive, key, address] {
                         if (*alive) {
-                          this->Start(key, address);
+                          this->Store(key, address);
+                        }
+                      });
+  }
+
+  void CheckSilence(const std::string& key, const ProcessAddress& address) {
+    this->task.PostAt(this->silent_at,
+                      [this, alive = this->alive, key, address] {
+                        if (!*alive) {
+                          return;
+                        }
+                        if (BootClock{}.Now() < this->silent_at) {
+                          this->CheckSilence(key, address);
+                        } else {
+                          this->Store(key, address);
                         }
                       });
   }
 
   Task& task;
   LogStore& log;
+  std::int64_t silence_ms;
+  /// Boot clock. The entry is stored again from then on.
+  Instant silent_at;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -53,8 +53,10 @@
                                     TestConfiguration(std::stoull(text)));
                               }},
           GatewayPorts{
-              {[](const std::string&, const rpc::ExchangeRequest&, Instant,
-                  const rpc::RpcCallback<rpc::ExchangeReply>&) {},
+              {[this](const std::string& address, const rpc::ExchangeRequest&,
+                      Instant, const rpc::RpcCallback<rpc::ExchangeReply>&) {
+                 this->exchanges.push_back(address);
+               },
                [](const workload::AdviceRequest&, Instant,
                   const std::function<void(AdviceReply)>&) {}},
               [](const InstanceId&, const std::string&) {}},
@@ -127,6 +129,20 @@
     return ready;
   }
 
+  void Append(const std::string& topic, const KeyedEntry& entry) {
+    this->task.Run([&] {
+      this->log.Append({topic, {entry}, {}, {}, Instant::Never()},
+                       [](const KeyedAppendReply&) {});
+    });
+  }
+
+  /// Returns the addresses of the exchanges that were sent.
+  std::vector<std::string> Exchanges() {
+    std::vector<std::string> result;
+    this->task.Run([&] { result = this->exchanges; });
+    return result;
+  }
+
   void FailAppends(std::vector<KeyedLogFailure> faults) {
     this->task.Run([&] { this->log.append_faults = std::move(faults); });
   }
@@ -134,6 +150,7 @@
   Task task;
   MemoryLog log;
   MetricsRegistry metrics;
+  std::vector<std::string> exchanges;
   std::vector<std::unique_ptr<Core>> gateways;
 };
 
@@ -397,6 +414,62 @@
   CHECK(cluster.CountPlanners() == 1);
 }
 
+TEST_CASE("an odd entry does not replace the address of an agent") {
+  // Guards against a worker whose tasks are given up, and that gets none any
+  // more, after another writer has used the key of its agent.
+  Cluster cluster;
+  cluster.Add("a");
+  REQUIRE(cluster.WaitFor([&] { return cluster.IsPlanner(0); }));
+  cluster.Append(kAgentTopic, {"side-1", EncodeAddress({"10.0.0.1:7000", 1})});
+  REQUIRE(cluster.WaitFor([&] { return cluster.Exchanges().size() == 1; }));
+  for (const std::string& odd :
+       {EncodeAddress({"10.0.0.1:70000", 2}), EncodeAddress({"10.0.0.1:0", 2}),
+        EncodeAddress({"no address", 2}), std::string(200'000, '\x1b'),
+        std::string(200'000, '['), "\x10" + std::string(20, '\xff'),
+        std::string("\x0a\x02\xff\xfe")}) {
+    cluster.Append(kAgentTopic, {"side-1", odd});
+  }
+  cluster.Append(kAgentTopic, {"side-1", EncodeAddress({"10.0.0.1:7000", 1})});
+  cluster.Append(kAgentTopic, {"side-2", EncodeAddress({"10.0.0.2:7000", 1})});
+  REQUIRE(cluster.WaitFor([&] { return cluster.Exchanges().size() >= 2; }));
+  CHECK(cluster.Exchanges() ==
+        std::vector<std::string>{"10.0.0.1:7000", "10.0.0.2:7000"});
+}
+
+TEST_CASE("an agent that no planner calls registers again") {
+  // Guards against a worker that is left out for good: gateways that start
+  // after another writer has used its key find no address.
+  Task task("test");
+  MemoryLog log(task);
+  constexpr std::int64_t kSilenceMs = 1'000;
+  std::unique_ptr<Registration<MemoryLog>> registration;
+  const auto wait = [&](int times, bool contact) {
+    for (int i = 0; i < times; ++i) {
+      g_usleep(100'000);
+      task.Run([&] {
+        if (contact) {
+          registration->OnContact();
+        }
+      });
+    }
+  };
+  const auto entries = [&] {
+    std::size_t count = 0;
+    task.Run([&] { count = log.Entries(kAgentTopic).size(); });
+    return count;
+  };
+  task.Run([&] {
+    registration =
+        std::make_unique<Registration<MemoryLog>>(task, log, kSilenceMs);
+    registration->Start("side-1", {"10.0.0.1:7000", 1});
+  });
+  wait(15, /*contact=*/true);
+  CHECK(entries() == 1);
+  wait(15, /*contact=*/false);
+  CHECK(entries() >= 2);
+  task.Run([&] { registration.reset(); });
+}
+
 TEST_CASE("a request to an earlier planner does not end a term") {
   // Guards against requests that a new planner reads from a snapshot.
   Cluster cluster;
