Do not lock a worker out for one odd sequence number

What callers would see: a worker stays in the state of one odd heartbeat, for example draining, and gets no tasks for the rest of its life.

Cause: a heartbeat with a lower sequence number than the last one counts as late. After one odd heartbeat with a high number all true ones did.

Evidence: the new test failed before: the worker stayed in draining.

Change: heartbeats that arrive out of order for 3 s, without one in order between them, are not late. What a partition has delayed arrives together, and the worker's next heartbeat in order ends the span.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -40,6 +40,9 @@
   /// How long an unanswered worker is asked whether it is the incarnation that
   /// a heartbeat names. Heartbeats follow more often than this.
   std::int64_t candidate_timeout_ms = 5'000;
+  /// Heartbeats that arrive out of order for longer than this are not late: the
+  /// one that overtook them was odd.
+  std::int64_t max_late_heartbeats_ms = 3'000;
   /// How long a worker may answer after it has announced its shutdown. If it
   /// still answers then, the announcement was not its own.
   std::int64_t shutdown_timeout_ms = 1'000;
@@ -88,7 +91,7 @@
       this->VerifyIncarnation(heartbeat, std::move(done));
       return;
     }
-    if (heartbeat.sequence < this->sequence || this->exited || this->leaving ||
+    if (this->ArrivesLate(heartbeat) || this->exited || this->leaving ||
         this->restarted_born_ms.has_value()) {
       Log(LogLevel::kInfo, "ignoring outdated heartbeat",
           {{"worker", life.id.value},
@@ -152,6 +155,19 @@
   }
 
  private:
+  // The heartbeats that a partition has delayed arrive together.
+  bool ArrivesLate(const WorkerHeartbeat& heartbeat) {
+    if (heartbeat.sequence >= this->sequence) {
+      this->late_until.reset();
+      return false;
+    }
+    const Instant now = BootClock{}.Now();
+    if (!this->late_until.has_value()) {
+      this->late_until = now.After(this->settings.max_late_heartbeats_ms);
+    }
+    return now < *this->late_until;
+  }
+
   bool Draining() const {
     return this->description.availability ==
            workload::WorkerAvailability::kDraining;
@@ -814,6 +830,9 @@
   /// The incarnation that crashed last; empty for none.
   workload::WorkerIncarnation last_crashed;
   std::uint64_t sequence = 0;
+  /// Until when heartbeats with a lower sequence number count as late; not set
+  /// after one that arrived in order.
+  std::optional<Instant> late_until;
   /// The worker's lists have been read in this incarnation.
   bool lists_read = false;
   /// Boot clock: when the worker last returned its lists.
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -109,10 +109,11 @@
 template <typename Port = FakePort>
 class AgentFixture {
  public:
-  AgentFixture() : task("test") {
+  explicit AgentFixture(WorkerAgentSettings settings = {})
+      : settings(settings), task("test") {
     this->task.Run([this] {
       this->agent = std::make_unique<WorkerAgent<Port>>(
-          this->task, this->port, 1, WorkerAgentSettings{}, this->metrics);
+          this->task, this->port, 1, this->settings, this->metrics);
     });
   }
   ~AgentFixture() {
@@ -174,6 +175,7 @@
     return result;
   }
 
+  WorkerAgentSettings settings;
   Task task;
   Port port;
   MetricsRegistry metrics;
@@ -310,6 +312,27 @@
   CHECK(fixture.Exchange().worker().born_unix_ms() == 5);
 }
 
+TEST_CASE("one odd sequence number does not lock the worker out") {
+  // Guards against a worker that is ignored, and stays in the state of one odd
+  // heartbeat, because its own sequence numbers are lower.
+  WorkerAgentSettings settings;
+  settings.max_late_heartbeats_ms = 300;
+  AgentFixture<SimulatedWorker> fixture(settings);
+  const auto availability = [&] {
+    return static_cast<WorkerAvailability>(fixture.Exchange().availability());
+  };
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.sequence = 1'000'000;
+  fixture.Heartbeat(10, WorkerAvailability::kDraining);
+  fixture.sequence = 1;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  CHECK(availability() == WorkerAvailability::kDraining);
+  g_usleep(400'000);
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  CHECK(availability() == WorkerAvailability::kReady);
+}
+
 TEST_CASE(
     "a worker that answers late is followed without a further heartbeat") {
   AgentFixture<SimulatedWorker> fixture;
