--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -69,6 +69,8 @@
     } else {
       state.desired = std::move(run);
       state.retry_at = now;
+      // An earlier process of the agent may have started the run.
+      state.confirmed = Contains(this->running, key);
       if (this->exited) {
         this->MarkEnded(state, RunEnd::kWorkerLost);
       }
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -155,6 +155,19 @@
   REQUIRE(table.Ends().size() == 1);
 }
 
+TEST_CASE("a run that a draining worker lists is not refused") {
+  // Guards against a task that runs twice: a restarted agent is sent the order of
+  // a run that its earlier process has started.
+  RunTable table({});
+  table.SetDraining(true);
+  table.OnLists(MakeReply(true), Instant{0}, Instant{0});
+  table.SetDesired({MakeDesired()}, Instant{10});
+  const DueOrders due = table.TakeDue(Instant{10});
+  CHECK(due.starts.empty());
+  CHECK(due.stops.empty());
+  CHECK(table.Ends().empty());
+}
+
 TEST_CASE("a stopped run ends only when the worker lists its end") {
   // Guards against reassigning resources that the run still uses.
   RunTable table({});
