--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -156,8 +156,8 @@
 }
 
 TEST_CASE("a run that a draining worker lists is not refused") {
-  // Guards against a task that runs twice: a restarted agent is sent the order of
-  // a run that its earlier process has started.
+  // Guards against a task that runs twice: a restarted agent is sent the order
+  // of a run that its earlier process has started.
   RunTable table({});
   table.SetDraining(true);
   table.OnLists(MakeReply(true), Instant{0}, Instant{0});
