Split the agent: probe, orders, reports, codec, clock and log lines

What asks the worker (WorkerProbe), sends orders (OrderSender), answers planners (ReportChannel) and encodes their messages are classes and files of their own; the agent keeps the decisions.

--- /dev/null
+++ b/packages/worker_agent/report_channel.cc
@@ -0,0 +1,72 @@
+#include "packages/worker_agent/report_channel.h"
+
+#include <string>
+#include <utility>
+
+#include "packages/core/log.h"
+
+namespace carobrill::worker_agent {
+
+ReportChannel::ReportChannel(Task& task, ReportChannelCallbacks callbacks)
+    : task(task), callbacks(std::move(callbacks)) {}
+
+ReportChannel::~ReportChannel() {
+  *this->alive = false;
+}
+
+void ReportChannel::OnExchange(const rpc::ExchangeRequest& request,
+                               rpc::Responder<rpc::ExchangeReply> respond) {
+  if (request.epoch() < this->epoch) {
+    rpc::ExchangeReply reply;
+    reply.set_accepted(false);
+    reply.set_highest_epoch(this->epoch);
+    respond(std::move(reply));
+    return;
+  }
+  if (request.epoch() > this->epoch) {
+    Log(LogLevel::kInfo, "following a new planner",
+        {{"epoch", std::to_string(request.epoch())}});
+    this->epoch = request.epoch();
+    this->last_exchange = 0;
+    this->callbacks.on_epoch(this->epoch);
+  }
+  if (request.sequence() > this->last_exchange) {
+    this->last_exchange = request.sequence();
+    this->callbacks.on_request(request);
+  }
+  this->AnswerPending();
+  if (request.wait_ms() <= 0 || request.seen_report() < this->report) {
+    respond(this->Reply());
+    return;
+  }
+  this->pending_response = std::move(respond);
+  this->task.PostAt(
+      BootClock{}.Now().After(request.wait_ms()),
+      [this, alive = this->alive, number = ++this->pending_number] {
+        if (*alive && number == this->pending_number) {
+          this->AnswerPending();
+        }
+      });
+}
+
+void ReportChannel::Report() {
+  ++this->report;
+  this->AnswerPending();
+}
+
+rpc::ExchangeReply ReportChannel::Reply() const {
+  rpc::ExchangeReply reply = this->callbacks.reply();
+  reply.set_accepted(true);
+  reply.set_highest_epoch(this->epoch);
+  reply.set_report(this->report);
+  return reply;
+}
+
+void ReportChannel::AnswerPending() {
+  if (this->pending_response) {
+    const auto respond = std::exchange(this->pending_response, std::nullopt);
+    (*respond)(this->Reply());
+  }
+}
+
+}  // namespace carobrill::worker_agent
--- /dev/null
+++ b/packages/worker_agent/worker_agent_settings.h
@@ -0,0 +1,36 @@
+#ifndef PACKAGES_WORKER_AGENT_WORKER_AGENT_SETTINGS_H_
+#define PACKAGES_WORKER_AGENT_WORKER_AGENT_SETTINGS_H_
+
+#include <cstdint>
+
+#include "packages/worker_agent/pace_controller.h"
+#include "packages/worker_agent/run_table.h"
+#include "packages/worker_agent/worker_probe.h"
+
+namespace carobrill::worker_agent {
+
+/// Timing of an agent, in ms.
+struct WorkerAgentSettings {
+  /// How long a request for the worker's lists waits for a run to end.
+  std::int64_t list_wait_ms = 500;
+  /// Delay before the lists are requested again while listed run ends have not
+  /// been stored by the planner.
+  std::int64_t ack_poll_delay_ms = 60;
+  /// Timeout of a worker call beyond its wait. An order that is answered too
+  /// late is repeated, which has no further effect.
+  std::int64_t answer_timeout_ms = 400;
+  std::int64_t retry_delay_ms = 150;
+  /// Number of consecutive refused connections after which the worker's process
+  /// is considered to have exited.
+  std::uint32_t max_refused_connections = 2;
+  /// Heartbeats that arrive out of order for longer than this are not late: the
+  /// one that overtook them was odd.
+  std::int64_t max_late_heartbeats_ms = 3'000;
+  RunTableSettings runs;
+  PaceSettings pace;
+  WorkerProbeSettings probe;
+};
+
+}  // namespace carobrill::worker_agent
+
+#endif  // PACKAGES_WORKER_AGENT_WORKER_AGENT_SETTINGS_H_
--- /dev/null
+++ b/packages/worker_agent/worker_log.h
@@ -0,0 +1,28 @@
+#ifndef PACKAGES_WORKER_AGENT_WORKER_LOG_H_
+#define PACKAGES_WORKER_AGENT_WORKER_LOG_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "packages/worker_agent/run_table.h"
+#include "packages/workload/worker.h"
+
+// Log lines of what an agent believes about its worker.
+
+namespace carobrill::worker_agent {
+
+void LogWorkerState(const workload::WorkerDescription& description);
+
+void LogWorkerGone(const workload::WorkerIncarnation& life,
+                   std::string_view reason,
+                   WorkerExit exit);
+
+/// `born_ms` is the start time of the worker's new process.
+void LogWorkerRestarted(const workload::WorkerIncarnation& life,
+                        std::int64_t born_ms);
+
+void LogStartWithdrawn(const RunKey& run);
+
+}  // namespace carobrill::worker_agent
+
+#endif  // PACKAGES_WORKER_AGENT_WORKER_LOG_H_
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -147,8 +147,7 @@
     return FailsToDecode([&] { return DecodeHeartbeat(agent, worker, body); });
   };
   REQUIRE(!fails(WorkerId("i-1"), sound.dump()));
-  for (const auto& [field, odd] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (const auto& entry : std::vector<std::pair<std::string, std::string>>{
            {"born", "1e300"},
            {"born", "-1"},
            {"born", "null"},
@@ -167,6 +166,8 @@
            {"state", R"("gone")"},
            {"service", R"("")"},
            {"labels", "[[]]"}}) {
+    const std::string& field = entry.first;
+    const std::string& odd = entry.second;
     CAPTURE(field);
     CAPTURE(odd);
     auto body = sound;
