Log why a worker is given up and when an agent's authority ends

Three causes were possible, and the log could not tell them apart: the planner dates the lease by an older grant than its last one, the margin for clocks is too small, or the agent renews leases for longer than it may.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -225,6 +225,12 @@
     const bool had_lease = this->lease_limit > BootClock{}.Now();
     this->lease_limit = std::max(this->lease_limit,
                                  Instant{request.authority_until_agent_ms()});
+    if (this->lease_limit > BootClock{}.Now() &&
+        !std::exchange(this->holds_authority, true)) {
+      Log(LogLevel::kInfo, "dependency regained",
+          {{"dependency", "planner"},
+           {"epoch", std::to_string(request.epoch())}});
+    }
     const bool same_incarnation =
         request.worker().id() == this->description.incarnation.id.value &&
         request.worker().born_unix_ms() ==
@@ -367,7 +373,21 @@
         });
   }
 
+  // Compared with the planner's worker_given_up, the time shows whether the
+  // planner waited until this agent could no longer renew.
+  void LogExpiredAuthority(Instant now) {
+    if (this->holds_authority && now >= this->lease_limit) {
+      this->holds_authority = false;
+      Log(LogLevel::kWarning, "dependency lost",
+          {{"dependency", "planner"},
+           {"worker", this->description.incarnation.id.value},
+           {"authority_ended_ms_ago",
+            std::to_string(now.ms - this->lease_limit.ms)}});
+    }
+  }
+
   void SendLeaseCall() {
+    this->LogExpiredAuthority(BootClock{}.Now());
     if (this->description.incarnation.id.empty() || this->exited) {
       this->ScheduleLeaseCall(this->settings.retry_delay_ms);
       return;
@@ -574,6 +594,8 @@
   std::optional<WorkerHeartbeat> successor;
   /// Until when the planner lets this agent renew leases (boot clock).
   Instant lease_limit;
+  /// The planner lets this agent renew leases, as last logged.
+  bool holds_authority = false;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t listed_end = 0;
   WorkerClock worker_clock;
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -247,6 +247,7 @@
     const Instant lost_at =
         known ? worker->second.lease_expires_at : this->unknown_workers_lost_at;
     const bool expired = !knows_incarnation && time.now >= lost_at;
+    const std::size_t lost_before = lost.size();
     for (const ActiveRun& run : runs_here) {
       if (expired ||
           (knows_incarnation &&
@@ -254,6 +255,14 @@
         lost.push_back(run);
       }
     }
+    if (lost.size() > lost_before) {
+      const std::string_view reason = knows_incarnation ? "another incarnation"
+                                      : known           ? "lease expired"
+                                              : "agent unknown";
+      this->RecordEvent(PlannerEventKind::kWorkerGivenUp, {}, 0,
+                        lost.back().task->worker.id, std::string(reason),
+                        expired ? time.now.ms - lost_at.ms : 0);
+    }
   }
   for (const ActiveRun& run : lost) {
     const WorkerIncarnation incarnation = run.task->worker;
--- a/packages/workload/planner_event.h
+++ b/packages/workload/planner_event.h
@@ -22,6 +22,7 @@
   kJobEnded,
   kAdvised,
   kTaskGivenUp,
+  kWorkerGivenUp,
 };
 
 constexpr auto NamesOf(PlannerEventKind) {
@@ -35,6 +36,7 @@
       {PlannerEventKind::kJobEnded, "job_ended"},
       {PlannerEventKind::kAdvised, "workers_advised"},
       {PlannerEventKind::kTaskGivenUp, "task_given_up"},
+      {PlannerEventKind::kWorkerGivenUp, "worker_given_up"},
   });
 }
 
