Date a worker's lease by the last grant, not by the one before

Callers saw TWICE (and LIMIT, as the planner thought the room free): tasks of a worker that is cut off were started elsewhere while the first runs worked on, up to 0.75 s, and after a pause of the planner runs were given up although no worker was disturbed.

Cause: WorkerLink handed the planner the expiry of the lease with each report, and granted again right after it. So the planner was always one grant behind; when an agent never reported again, or the link was replaced because of another address, or the planner woke from a pause and all exchanges had timed out, EndLostRuns() used the older date.

Change: every lease counts from the agent's last report, and not from the message that carries the grant. The expiry of all leases up to the next report is then known, and handed to the planner with the report, before the first of them is granted.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -86,26 +86,26 @@
   }
 }
 
+// Every lease counts from the agent's last report. The planner then knows the
+// expiry of all of them before the first one is granted, also if the agent
+// never reports again.
+void WorkerLink::ExtendLease(Instant now) {
+  this->authority_ends_at = now.After(this->settings.lease_ms);
+  this->lease_expires_at =
+      now.After(this->settings.lease_ms * (100 + kClockDriftPercent) / 100 +
+                kLeaseMarginMs);
+}
+
 // The permission to renew leases ends at a time on the agent's own clock, so
 // that a delayed message does not extend it.
-void WorkerLink::GrantLease(rpc::ExchangeRequest& request, Instant now) {
-  const std::int64_t granted_ms =
-      std::min(this->settings.lease_ms, this->lease_limit.RemainingMs(now));
+void WorkerLink::GrantLease(rpc::ExchangeRequest& request, Instant now) const {
+  const Instant until = std::min(this->authority_ends_at, this->lease_limit);
   // An agent that knows no worker renews no lease, so none is granted. The runs
   // of its earlier worker then end with the last lease.
-  if (!this->connected || this->worker.id().empty() || granted_ms <= 0) {
+  if (!this->connected || this->worker.id().empty() || until <= now) {
     return;
   }
-  request.set_authority_until_agent_ms(now.ms + this->clock_offset_ms +
-                                       granted_ms);
-  this->ExtendLease(now, granted_ms);
-}
-
-void WorkerLink::ExtendLease(Instant now, std::int64_t granted_ms) {
-  this->lease_expires_at =
-      std::max(this->lease_expires_at,
-               now.After(granted_ms * (100 + kClockDriftPercent) / 100 +
-                         kLeaseMarginMs));
+  request.set_authority_until_agent_ms(until.ms + this->clock_offset_ms);
 }
 
 void WorkerLink::Send(std::int64_t wait_ms) {
@@ -198,14 +198,16 @@
   }
   this->agent_incarnation = reply.agent_incarnation();
   this->seen_report = reply.report();
+  const Instant now = BootClock{}.Now();
   // The agent read its clock before the reply was transmitted, so the offset is
   // never too large.
-  this->clock_offset_ms = reply.agent_clock_ms() - BootClock{}.Now().ms;
+  this->clock_offset_ms = reply.agent_clock_ms() - now.ms;
   this->connected = true;
   // An earlier planner may have granted a lease until just before the agent
-  // followed this one.
-  if (!std::exchange(this->has_reported, true)) {
-    this->ExtendLease(BootClock{}.Now(), this->settings.lease_ms);
+  // followed this one, also if the agent has restarted since.
+  const bool first = !std::exchange(this->has_reported, true);
+  if (first || !reply.worker().id().empty()) {
+    this->ExtendLease(now);
   }
   if (reply.worker().id() != this->worker.id() ||
       reply.worker().born_unix_ms() != this->worker.born_unix_ms()) {
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -17,8 +17,8 @@
 
 /// Timing of exchanges with an agent, in ms.
 struct WorkerLinkSettings {
-  /// How long an agent's leases last after it last received a message from the
-  /// planner. Must not exceed the longest time for which the platform (the
+  /// How long an agent's leases last after its last report to the planner. Must
+  /// not exceed the longest time for which the platform (the
   /// runners and the metadata store) lets a worker run a task without a renewed
   /// lease.
   std::int64_t lease_ms = 5'500;
@@ -39,7 +39,8 @@
 /// Callbacks of a link to its planner session.
 struct WorkerLinkCallbacks {
   /// Called for each report from the agent. `lease_expires_at` as in
-  /// JobPlanner::UpdateWorker.
+  /// JobPlanner::UpdateWorker; it covers all leases that are granted until the
+  /// next report.
   std::function<void(const InstanceId&,
                      const rpc::ExchangeReply&,
                      Instant lease_expires_at)>
@@ -93,8 +94,8 @@
                std::uint64_t sequence);
   void OnFailure(const rpc::RpcResult<rpc::ExchangeReply>& reply);
   void ApplyReport(const rpc::ExchangeReply& reply);
-  void GrantLease(rpc::ExchangeRequest& request, Instant now);
-  void ExtendLease(Instant now, std::int64_t granted_ms);
+  void ExtendLease(Instant now);
+  void GrantLease(rpc::ExchangeRequest& request, Instant now) const;
 
   Task& task;
   InstanceId agent;
@@ -116,7 +117,12 @@
   std::uint64_t agent_incarnation = 0;
   std::uint64_t seen_report = 0;
   rpc::WorkerIdentity worker;
+  /// @{
+  /// Boot clock: until when the agent may be let renew leases, and when the
+  /// last of them has certainly expired.
+  Instant authority_ends_at;
   Instant lease_expires_at;
+  /// @}
   Instant lease_limit;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/tests/gateway/planner_session_test.cc
@@ -0,0 +1,250 @@
+#include "packages/gateway/planner_session.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/gateway/memory_log.h"
+
+namespace carobrill::gateway {
+namespace {
+
+constexpr std::int64_t kLeaseMs = 1'000;
+/// Delay of each answer. Longer than the margin that the planner adds to a
+/// lease, so that a lease that is dated by the exchange before ends too early.
+constexpr std::int64_t kAnswerDelayMs = 400;
+constexpr std::int64_t kWaitLimitMs = 5'000;
+
+/// Agent whose answers are scripted by the test. It runs what it is ordered to.
+struct ScriptedAgent {
+  bool answers = true;
+  /// The agent rejects the exchanges that it answers.
+  bool shutting_down = false;
+  std::uint64_t report = 0;
+  std::int64_t authority_until_ms = 0;
+  /// Boot clock: first request with an order to start a task; 0 for none.
+  std::int64_t ordered_at_ms = 0;
+  /// Highest run number that was ordered.
+  std::uint32_t highest_run = 0;
+};
+
+/// A planner with two agents. Both use its clock.
+class SessionFixture {
+ public:
+  using Session = PlannerSession<MemoryLog>;
+
+  SessionFixture() : task("test"), log(this->task), planner_log(this->metrics) {
+    this->task.Run([this] {
+      PlannerSessionSettings settings;
+      settings.max_store_outage_ms = 10'000;
+      settings.link.lease_ms = kLeaseMs;
+      settings.tick_ms = 10;
+      settings.link.answer_timeout_ms = 100;
+      settings.link.retry_delay_ms = 20;
+      settings.link.wait_ms = kAnswerDelayMs;
+      this->session = std::make_unique<Session>(
+          this->task, this->log, InstanceId("planner"), 0, WriterIdentity{1, 1},
+          settings,
+          PlannerPorts{
+              [this](const std::string& address,
+                     const rpc::ExchangeRequest& request, Instant deadline,
+                     const rpc::RpcCallback<rpc::ExchangeReply>& done) {
+                this->OnExchange(address, request, deadline, done);
+              },
+              [](const workload::AdviceRequest&, Instant,
+                 const std::function<void(AdviceReply)>&) {}},
+          this->planner_log, [](const std::string&) {});
+      this->session->SetAgent(InstanceId("w1"), "w1");
+      this->session->Start();
+    });
+  }
+
+  ~SessionFixture() {
+    this->task.Run([this] { this->session.reset(); });
+  }
+
+  /// Submits a job of one task.
+  void Submit() {
+    this->task.Run([this] {
+      workload::Submission submission;
+      submission.id = JobId("j");
+      submission.service = ServiceId("s");
+      submission.priority = 1;
+      submission.max_attempts = 3;
+      submission.accepted_at = WallClock{}.Now();
+      workload::StepSpec step;
+      step.demand = {1'000, 1'000, 1};
+      step.estimate_ms = 60'000;
+      submission.spec.steps = {step};
+      this->session->Submit(submission);
+    });
+  }
+
+  /// Lets the planner start a task on the first agent, adds the second one and
+  /// waits for a grant that follows a report of the task.
+  void StartTask() {
+    this->Submit();
+    REQUIRE(
+        this->WaitFor([this] { return this->At("w1").ordered_at_ms != 0; }));
+    this->task.Run([this] { this->session->SetAgent(InstanceId("w2"), "w2"); });
+    const std::int64_t first = this->At("w1").authority_until_ms;
+    REQUIRE(this->WaitFor([&] {
+      return this->At("w1").authority_until_ms >= first + 2 * kAnswerDelayMs;
+    }));
+  }
+
+  /// Returns when the task was ordered from the second agent (boot clock, ms).
+  std::int64_t RestartedAt() {
+    REQUIRE(
+        this->WaitFor([this] { return this->At("w2").ordered_at_ms != 0; }));
+    return this->At("w2").ordered_at_ms;
+  }
+
+  ScriptedAgent At(const std::string& name) {
+    ScriptedAgent copy;
+    this->task.Run([&] { copy = this->agents[name]; });
+    return copy;
+  }
+
+  bool WaitFor(const std::function<bool()>& condition) {
+    const Instant end = BootClock{}.Now().After(kWaitLimitMs);
+    while (BootClock{}.Now() < end) {
+      if (condition()) {
+        return true;
+      }
+      g_usleep(2'000);
+    }
+    return false;
+  }
+
+  Task task;
+  MemoryLog log;
+  MetricsRegistry metrics;
+  PlannerLog planner_log;
+  std::map<std::string, ScriptedAgent> agents;
+  std::unique_ptr<Session> session;
+
+ private:
+  static void AddRunning(const rpc::ExchangeRequest& request,
+                         rpc::ExchangeReply& reply) {
+    for (const auto& order : request.orders()) {
+      auto* run = reply.add_running();
+      *run->mutable_task() = order.task();
+      run->set_run(order.run());
+      run->set_percent(1);
+    }
+  }
+
+  rpc::ExchangeReply ReplyOf(const std::string& name,
+                             const rpc::ExchangeRequest& request) {
+    ScriptedAgent& agent = this->agents[name];
+    rpc::ExchangeReply reply;
+    reply.set_accepted(!agent.shutting_down);
+    reply.set_report(++agent.report);
+    reply.set_agent_clock_ms(BootClock{}.Now().ms);
+    reply.set_agent_incarnation(1);
+    reply.mutable_worker()->set_id(name);
+    reply.mutable_worker()->set_born_unix_ms(1);
+    reply.set_availability(
+        static_cast<std::uint32_t>(workload::WorkerAvailability::kReady));
+    reply.set_service("s");
+    reply.set_rack("r");
+    reply.set_cpu_millis(1'000);
+    reply.set_memory_mb(1'000);
+    reply.set_accelerators(1);
+    AddRunning(request, reply);
+    return reply;
+  }
+
+  // An agent takes note of a request also when its answer is lost.
+  void OnExchange(const std::string& address,
+                  const rpc::ExchangeRequest& request,
+                  Instant deadline,
+                  const rpc::RpcCallback<rpc::ExchangeReply>& done) {
+    const Instant now = BootClock{}.Now();
+    ScriptedAgent& agent = this->agents[address];
+    agent.authority_until_ms =
+        std::max(agent.authority_until_ms, request.authority_until_agent_ms());
+    if (agent.ordered_at_ms == 0 && request.orders_size() > 0) {
+      agent.ordered_at_ms = now.ms;
+    }
+    for (const auto& order : request.orders()) {
+      agent.highest_run = std::max(agent.highest_run, order.run());
+    }
+    const auto time_out = [done] {
+      rpc::RpcResult<rpc::ExchangeReply> reply;
+      reply.failure = rpc::RpcFailure::kTimeout;
+      done(reply);
+    };
+    if (!agent.answers && !agent.shutting_down) {
+      this->task.PostAt(deadline, time_out);
+      return;
+    }
+    const std::int64_t delay_ms =
+        request.wait_ms() > 0 && !agent.shutting_down ? kAnswerDelayMs : 0;
+    this->task.PostAt(now.After(delay_ms), [=, this] {
+      if (BootClock{}.Now() > deadline) {
+        time_out();
+        return;
+      }
+      done({rpc::RpcFailure::kNone, {}, this->ReplyOf(address, request)});
+    });
+  }
+};
+
+TEST_CASE(
+    "a task is not started elsewhere before the last granted lease ends") {
+  // Guards against two runs of a task after its agent is cut off: the lease
+  // that was granted after the agent's last report counts.
+  SessionFixture fixture;
+  fixture.StartTask();
+  const InstanceId agent("w1");
+  fixture.task.Run([&] { fixture.agents["w1"].answers = false; });
+  SUBCASE("the agent is cut off") {}
+  SUBCASE("the agent shuts down and rejects exchanges") {
+    fixture.task.Run([&] { fixture.agents["w1"].shutting_down = true; });
+  }
+  SUBCASE("the agent's address changes") {
+    fixture.task.Run([&] {
+      fixture.agents["other"].answers = false;
+      fixture.session->SetAgent(agent, "other");
+    });
+  }
+  SUBCASE("the agent's address is removed") {
+    fixture.task.Run([&] { fixture.session->RemoveAgent(agent); });
+  }
+  SUBCASE("the agent's address is removed and registered again") {
+    fixture.task.Run([&] {
+      fixture.agents["other"].answers = false;
+      fixture.session->RemoveAgent(agent);
+      fixture.session->SetAgent(agent, "other");
+    });
+  }
+  const std::int64_t restarted_at = fixture.RestartedAt();
+  CHECK(restarted_at >= fixture.At("w1").authority_until_ms);
+}
+
+TEST_CASE("a paused planner keeps the runs whose leases have not ended") {
+  // Guards against runs that are given up in the first pass after a pause,
+  // although no worker was disturbed.
+  SessionFixture fixture;
+  fixture.StartTask();
+  const std::int64_t authority_until = fixture.At("w1").authority_until_ms;
+  // The exchanges time out during the pause.
+  fixture.task.Run([&] {
+    const std::int64_t left = authority_until - BootClock{}.Now().ms;
+    REQUIRE(left > 0);
+    constexpr std::int64_t kWakesBeforeEndMs = 100;
+    g_usleep(1'000 * static_cast<gulong>(left - kWakesBeforeEndMs));
+  });
+  g_usleep(1'000 * static_cast<gulong>(kLeaseMs));
+  CHECK(fixture.At("w1").highest_run == 1);
+  CHECK(fixture.At("w2").highest_run == 0);
+}
+
+}  // namespace
+}  // namespace carobrill::gateway
--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -81,6 +81,25 @@
   CHECK(fixture.lease_expires_at >= before.After(fixture.settings.lease_ms));
 }
 
+TEST_CASE("a lease that new orders carry is covered by the last report") {
+  // Guards against a planner that counts a worker as lost by an older lease
+  // than the agent's latest one.
+  LinkFixture fixture;
+  fixture.Report("w", 1);
+  // Longer than the margin that the planner adds to a lease.
+  g_usleep(400'000);
+  fixture.task.Run([&] {
+    workload::TaskOrder order;
+    order.task = {JobId("j"), 0, 0, 0};
+    order.run = 1;
+    fixture.link->SetOrders({order}, 0);
+  });
+  REQUIRE(fixture.request.orders_size() == 1);
+  CHECK(fixture.request.authority_until_agent_ms() > 0);
+  CHECK(fixture.request.authority_until_agent_ms() <=
+        fixture.lease_expires_at.ms);
+}
+
 TEST_CASE("an order carries what the run takes of the worker's capacity") {
   // Guards against an agent that cannot check a capacity that has shrunk.
   Task task("test");
