Test a planner that grants leases after it has lost the store

Checked as a related path of the lease's date: the next planner waits for the longest time for which the last one may grant. It holds: grants end max_store_outage_ms after the send of the last append that was stored, which is before the next claim.

--- a/tests/gateway/planner_session_test.cc
+++ b/tests/gateway/planner_session_test.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "tests/gateway/faulty_log.h"
 #include "tests/gateway/memory_log.h"
 
 namespace carobrill::gateway {
@@ -24,6 +25,8 @@
   bool answers = true;
   /// The agent rejects the exchanges that it answers.
   bool shutting_down = false;
+  /// Planners of this epoch and later ones do not reach the agent.
+  std::uint64_t unreachable_from_epoch = 1'000;
   std::uint64_t report = 0;
   std::int64_t authority_until_ms = 0;
   /// Boot clock: first request with an order to start a task; 0 for none.
@@ -32,39 +35,50 @@
   std::uint32_t highest_run = 0;
 };
 
-/// A planner with two agents. Both use its clock.
+/// A planner with two agents. Both use its clock. Another planner may follow.
 class SessionFixture {
  public:
-  using Session = PlannerSession<MemoryLog>;
+  using Session = PlannerSession<FaultyLog>;
 
-  SessionFixture() : task("test"), log(this->task), planner_log(this->metrics) {
+  explicit SessionFixture(std::int64_t max_store_outage_ms = 10'000)
+      : max_store_outage_ms(max_store_outage_ms),
+        task("test"),
+        memory(this->task),
+        log(this->task, this->memory),
+        successor_log(this->task, this->memory),
+        planner_log(this->metrics) {
     this->task.Run([this] {
-      PlannerSessionSettings settings;
-      settings.max_store_outage_ms = 10'000;
-      settings.link.lease_ms = kLeaseMs;
-      settings.tick_ms = 10;
-      settings.link.answer_timeout_ms = 100;
-      settings.link.retry_delay_ms = 20;
-      settings.link.wait_ms = kAnswerDelayMs;
-      this->session = std::make_unique<Session>(
-          this->task, this->log, InstanceId("planner"), 0, WriterIdentity{1, 1},
-          settings,
-          PlannerPorts{
-              [this](const std::string& address,
-                     const rpc::ExchangeRequest& request, Instant deadline,
-                     const rpc::RpcCallback<rpc::ExchangeReply>& done) {
-                this->OnExchange(address, request, deadline, done);
-              },
-              [](const workload::AdviceRequest&, Instant,
-                 const std::function<void(AdviceReply)>&) {}},
-          this->planner_log, [](const std::string&) {});
+      this->session = this->MakeSession(1, this->log);
       this->session->SetAgent(InstanceId("w1"), "w1");
       this->session->Start();
     });
   }
 
   ~SessionFixture() {
-    this->task.Run([this] { this->session.reset(); });
+    this->task.Run([this] {
+      this->session.reset();
+      this->successor.reset();
+    });
+  }
+
+  /// Cuts the planner off from the store, and lets another one take over that
+  /// knows both agents.
+  void TakeOver() {
+    this->task.Run([this] {
+      this->log.Reset();
+      KeyedAppend claim;
+      claim.topic = kProgressTopic;
+      claim.writer = {2, 1};
+      claim.deadline = Instant::Never();
+      this->memory.Append(claim, [](const KeyedAppendReply&) {});
+      this->successor = this->MakeSession(2, this->successor_log);
+      for (const auto& [id, job] : this->session->Planner().Jobs()) {
+        this->successor->Load(job);
+      }
+      this->successor->SetAgent(InstanceId("w1"), "w1");
+      this->successor->SetAgent(InstanceId("w2"), "w2");
+      this->successor->Start();
+    });
   }
 
   /// Submits a job of one task.
@@ -84,13 +98,16 @@
     });
   }
 
-  /// Lets the planner start a task on the first agent, adds the second one and
-  /// waits for a grant that follows a report of the task.
+  void AddSecondAgent() {
+    this->task.Run([this] { this->session->SetAgent(InstanceId("w2"), "w2"); });
+  }
+
+  /// Lets the planner start a task on the first agent, and waits for a grant
+  /// that follows a report of the task.
   void StartTask() {
     this->Submit();
     REQUIRE(
         this->WaitFor([this] { return this->At("w1").ordered_at_ms != 0; }));
-    this->task.Run([this] { this->session->SetAgent(InstanceId("w2"), "w2"); });
     const std::int64_t first = this->At("w1").authority_until_ms;
     REQUIRE(this->WaitFor([&] {
       return this->At("w1").authority_until_ms >= first + 2 * kAnswerDelayMs;
@@ -121,14 +138,41 @@
     return false;
   }
 
+  std::int64_t max_store_outage_ms;
   Task task;
-  MemoryLog log;
+  MemoryLog memory;
+  FaultyLog log;
+  FaultyLog successor_log;
   MetricsRegistry metrics;
   PlannerLog planner_log;
   std::map<std::string, ScriptedAgent> agents;
   std::unique_ptr<Session> session;
+  std::unique_ptr<Session> successor;
 
  private:
+  std::unique_ptr<Session> MakeSession(std::uint64_t epoch,
+                                       FaultyLog& planner_store) {
+    PlannerSessionSettings settings;
+    settings.max_store_outage_ms = this->max_store_outage_ms;
+    settings.tick_ms = 10;
+    settings.link.lease_ms = kLeaseMs;
+    settings.link.answer_timeout_ms = 100;
+    settings.link.retry_delay_ms = 20;
+    settings.link.wait_ms = kAnswerDelayMs;
+    return std::make_unique<Session>(
+        this->task, planner_store, InstanceId("planner"), 0,
+        WriterIdentity{epoch, 1}, settings,
+        PlannerPorts{
+            [this](const std::string& address,
+                   const rpc::ExchangeRequest& request, Instant deadline,
+                   const rpc::RpcCallback<rpc::ExchangeReply>& done) {
+              this->OnExchange(address, request, deadline, done);
+            },
+            [](const workload::AdviceRequest&, Instant,
+               const std::function<void(AdviceReply)>&) {}},
+        this->planner_log, [](const std::string&) {});
+  }
+
   static void AddRunning(const rpc::ExchangeRequest& request,
                          rpc::ExchangeReply& reply) {
     for (const auto& order : request.orders()) {
@@ -167,6 +211,15 @@
                   const rpc::RpcCallback<rpc::ExchangeReply>& done) {
     const Instant now = BootClock{}.Now();
     ScriptedAgent& agent = this->agents[address];
+    const auto time_out = [done] {
+      rpc::RpcResult<rpc::ExchangeReply> reply;
+      reply.failure = rpc::RpcFailure::kTimeout;
+      done(reply);
+    };
+    if (request.epoch() >= agent.unreachable_from_epoch) {
+      this->task.PostAt(deadline, time_out);
+      return;
+    }
     agent.authority_until_ms =
         std::max(agent.authority_until_ms, request.authority_until_agent_ms());
     if (agent.ordered_at_ms == 0 && request.orders_size() > 0) {
@@ -175,11 +228,6 @@
     for (const auto& order : request.orders()) {
       agent.highest_run = std::max(agent.highest_run, order.run());
     }
-    const auto time_out = [done] {
-      rpc::RpcResult<rpc::ExchangeReply> reply;
-      reply.failure = rpc::RpcFailure::kTimeout;
-      done(reply);
-    };
     if (!agent.answers && !agent.shutting_down) {
       this->task.PostAt(deadline, time_out);
       return;
@@ -202,6 +250,7 @@
   // that was granted after the agent's last report counts.
   SessionFixture fixture;
   fixture.StartTask();
+  fixture.AddSecondAgent();
   const InstanceId agent("w1");
   fixture.task.Run([&] { fixture.agents["w1"].answers = false; });
   SUBCASE("the agent is cut off") {}
@@ -233,6 +282,7 @@
   // although no worker was disturbed.
   SessionFixture fixture;
   fixture.StartTask();
+  fixture.AddSecondAgent();
   const std::int64_t authority_until = fixture.At("w1").authority_until_ms;
   // The exchanges time out during the pause.
   fixture.task.Run([&] {
@@ -246,5 +296,21 @@
   CHECK(fixture.At("w2").highest_run == 0);
 }
 
+TEST_CASE("a new planner waits for leases that the last one grants late") {
+  // Guards against two runs of a task when a planner that has lost the store,
+  // and does not know of the next one, keeps an agent that the next one does
+  // not reach.
+  constexpr std::int64_t kMaxStoreOutageMs = 2'000;
+  SessionFixture fixture(kMaxStoreOutageMs);
+  fixture.StartTask();
+  fixture.task.Run([&] { fixture.agents["w1"].unreachable_from_epoch = 2; });
+  const std::int64_t before = fixture.At("w1").authority_until_ms;
+  fixture.TakeOver();
+  const std::int64_t restarted_at = fixture.RestartedAt();
+  const std::int64_t authority_until = fixture.At("w1").authority_until_ms;
+  CHECK(authority_until > before);
+  CHECK(restarted_at >= authority_until);
+}
+
 }  // namespace
 }  // namespace carobrill::gateway
