--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -173,9 +173,8 @@
          {"agent", this->agent.value},
          {"reason", std::string(NameOf(reply.failure))},
          {"detail", reply.detail},
-         {"lease_left_ms",
-          std::to_string(
-              this->lease_expires_at.RemainingMs(BootClock{}.Now()))}});
+         {"lease_left_ms", std::to_string(this->lease_expires_at.RemainingMs(
+                               BootClock{}.Now()))}});
   }
   this->callbacks.on_unreachable(this->agent);
   this->task.PostAt(BootClock{}.Now().After(this->settings.retry_delay_ms),
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -26,6 +26,13 @@
   return most;
 }
 
+std::string LossReason(bool known, bool knows_incarnation) {
+  if (!known) {
+    return "agent unknown";
+  }
+  return knows_incarnation ? "another incarnation" : "lease expired";
+}
+
 }  // namespace
 
 JobPlanner::JobPlanner(JobPlannerSettings settings) : settings(settings) {}
@@ -256,11 +263,9 @@
       }
     }
     if (lost.size() > lost_before) {
-      const std::string_view reason = knows_incarnation ? "another incarnation"
-                                      : known           ? "lease expired"
-                                              : "agent unknown";
       this->RecordEvent(PlannerEventKind::kWorkerGivenUp, {}, 0,
-                        lost.back().task->worker.id, std::string(reason),
+                        lost.back().task->worker.id,
+                        LossReason(known, knows_incarnation),
                         expired ? time.now.ms - lost_at.ms : 0);
     }
   }
