Wait for one lease only after a planner that grants no more

Callers lost jobs (LOST): tasks of machines that were lost shortly before the planner stood still for 20.5 s after its claim.

Cause: for agents that do not answer it, a new planner waited for the longest time for which any predecessor may go on without the store, and for a lease more. A predecessor that has resigned, or is an earlier process of the same instance, grants no more; and no grant ends later than max_store_outage_ms after the last stored append, so the added lease was never needed.

Change: the wait is one lease after such predecessors, else 15.6 s. A planner that resigns limits its grants from the sending of the resignation, whose answer it may never get. Claims and heartbeats carry what is left of the wait for still earlier planners; a record without the field (older version) or with an odd value keeps the long wait.

--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -16,6 +16,7 @@
 #include "packages/gateway/caller_api.h"
 #include "packages/gateway/configuration.h"
 #include "packages/gateway/job_view.h"
+#include "packages/gateway/lease_bounds.h"
 #include "packages/gateway/planner_lease.h"
 #include "packages/gateway/planner_session.h"
 #include "packages/gateway/registration.h"
@@ -419,6 +420,10 @@
     this->last_tried_epoch = epoch;
     this->lease.ObserveOwnClaim(epoch);
     const Instant now = BootClock{}.Now();
+    this->earlier_leases_ms =
+        EarlierLeasesMs(this->lease.Newest(), this->settings.instance,
+                        {this->settings.session.link.lease_ms,
+                         this->settings.session.max_store_outage_ms});
     KeyedAppend append;
     append.topic = kProgressTopic;
     append.entries = {
@@ -427,7 +432,8 @@
                                    0,
                                    false,
                                    this->settings.processor_millis,
-                                   {}})}};
+                                   {},
+                                   this->earlier_leases_ms})}};
     append.expected_end = this->progress.Next();
     append.writer = this->IdentityOf(epoch);
     append.deadline = now.After(this->settings.follower.answer_timeout_ms);
@@ -448,6 +454,7 @@
       this->lease.RestartSilence(BootClock{}.Now());
       return;
     }
+    this->earlier_leases_end = BootClock{}.Now().After(this->earlier_leases_ms);
     this->AwaitIntake(epoch);
   }
 
@@ -483,7 +490,8 @@
     }
     this->session = std::make_unique<PlannerSession<LogStore>>(
         this->task, this->log, this->settings.instance,
-        this->settings.processor_millis, this->IdentityOf(epoch),
+        this->settings.processor_millis,
+        PlannerTerm{this->IdentityOf(epoch), this->earlier_leases_end},
         this->settings.session, this->ports.planner, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
@@ -555,6 +563,10 @@
   bool claiming = false;
   bool draining = false;
   std::uint64_t last_tried_epoch = 0;
+  /// How long leases of earlier planners may last after the latest claim.
+  std::int64_t earlier_leases_ms = 0;
+  /// Boot clock: the same for the last claim that succeeded.
+  Instant earlier_leases_end;
   /// Start time of this process (Unix µs).
   std::uint64_t incarnation = WallClockMicros();
   Instant ticked_at;
--- a/packages/gateway/planner_lease.h
+++ b/packages/gateway/planner_lease.h
@@ -2,6 +2,7 @@
 #define PACKAGES_GATEWAY_PLANNER_LEASE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "packages/core/ids.h"
@@ -40,6 +41,9 @@
   std::uint32_t processor_millis = 0;
   /// With `resigned`: the instance that takes over first; empty for any.
   InstanceId successor;
+  /// How long leases that earlier planners granted may still last, as of the
+  /// sending of this record; nothing if it is not known.
+  std::optional<std::int64_t> earlier_leases_left_ms = std::nullopt;
 };
 
 /// Request of an instance to take over from the planner of the given epoch.
--- a/packages/gateway/planner_records.cc
+++ b/packages/gateway/planner_records.cc
@@ -15,6 +15,9 @@
   record.set_resigned(claim.resigned);
   record.set_processor_millis(claim.processor_millis);
   record.set_successor(claim.successor.value);
+  if (claim.earlier_leases_left_ms.has_value()) {
+    record.set_earlier_leases_left_ms(*claim.earlier_leases_left_ms);
+  }
   return record.SerializeAsString();
 }
 
@@ -23,12 +26,17 @@
   if (!record.ParseFromString(bytes) || record.epoch() == 0) {
     return std::nullopt;
   }
-  return PlannerClaim{InstanceId(record.instance()),
-                      record.epoch(),
-                      record.beat(),
-                      record.resigned(),
-                      record.processor_millis(),
-                      InstanceId(record.successor())};
+  PlannerClaim claim{InstanceId(record.instance()),
+                     record.epoch(),
+                     record.beat(),
+                     record.resigned(),
+                     record.processor_millis(),
+                     InstanceId(record.successor()),
+                     {}};
+  if (record.has_earlier_leases_left_ms()) {
+    claim.earlier_leases_left_ms = record.earlier_leases_left_ms();
+  }
+  return claim;
 }
 
 std::string EncodeHandover(const HandoverRequest& request) {
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -52,6 +52,14 @@
   workload::JobPlannerSettings planner;
 };
 
+/// One term of an instance as the planner.
+struct PlannerTerm {
+  /// Writer identity with which the term was claimed.
+  WriterIdentity claim;
+  /// Boot clock: when the leases of earlier planners have certainly expired.
+  Instant earlier_leases_end;
+};
+
 /// External calls of a planner, besides the log.
 struct PlannerPorts {
   ExchangeFunction exchange;
@@ -63,14 +71,13 @@
 template <KeyedLog LogStore>
 class PlannerSession {
  public:
-  /// `claim` is the writer identity with which the term was claimed. `on_ended`
-  /// is posted to the task once, when the term ends because another planner
-  /// took over or this one resigned.
+  /// `on_ended` is posted to the task once, when the term ends because another
+  /// planner took over or this one resigned.
   PlannerSession(Task& task,
                  LogStore& log,
                  InstanceId instance,
                  std::uint32_t processor_millis,
-                 WriterIdentity claim,
+                 const PlannerTerm& term,
                  PlannerSessionSettings settings,
                  PlannerPorts ports,
                  PlannerLog& planner_log,
@@ -78,13 +85,13 @@
       : task(task),
         instance(std::move(instance)),
         processor_millis(processor_millis),
-        epoch(claim.epoch),
+        epoch(term.claim.epoch),
         settings(settings),
         ports(std::move(ports)),
         planner_log(planner_log),
         on_ended(std::move(on_ended)),
         planner(settings.planner),
-        commits(task, log, kProgressTopic, claim),
+        commits(task, log, kProgressTopic, term.claim),
         advice(task,
                this->ports.advise,
                [this](const workload::AdviceRequest& request,
@@ -92,14 +99,12 @@
                       Instant expires_at) {
                  this->planner.ApplyAdvice(request, granted, expires_at);
                  this->SchedulePass();
-               }) {
+               }),
+        earlier_leases_end(term.earlier_leases_end) {
     const Instant now = BootClock{}.Now();
     this->stored_at = now;
     this->began_at = now;
-    // Agents may hold leases granted by a previous planner until then.
-    this->previous_leases_end =
-        now.After(settings.max_store_outage_ms + settings.link.lease_ms);
-    this->planner.SetUnknownWorkerDeadline(this->previous_leases_end);
+    this->planner.SetUnknownWorkerDeadline(this->earlier_leases_end);
   }
 
   ~PlannerSession() { *this->alive = false; }
@@ -137,7 +142,7 @@
     if (known != this->links.end() && known->second->Address() == address) {
       return;
     }
-    this->planner.RegisterWorker(agent, this->previous_leases_end);
+    this->planner.RegisterWorker(agent, this->earlier_leases_end);
     this->planner.MarkOrdersChanged(agent);
     this->links[agent] = std::make_unique<WorkerLink>(
         this->task, agent, address, this->epoch, this->settings.link,
@@ -270,11 +275,17 @@
       this->on_expired(id);
     }
     const bool resigning = this->resigned;
+    if (resigning) {
+      // The next planner relies on it from the moment this append is stored.
+      this->resignation_limit = now.After(this->settings.link.lease_ms);
+      this->LimitLeases();
+    }
     if (now >= this->next_heartbeat_at || resigning) {
       entries.push_back(
           {kPlannerKey,
            EncodeClaim({this->instance, this->epoch, ++this->heartbeat,
-                        resigning, this->processor_millis, this->successor})});
+                        resigning, this->processor_millis, this->successor,
+                        this->earlier_leases_end.RemainingMs(now)})});
       this->next_heartbeat_at = now.After(this->settings.heartbeat_interval_ms);
     }
     if (entries.empty()) {
@@ -314,11 +325,7 @@
     if (this->ended) {
       return;
     }
-    const Instant limit =
-        this->stored_at.After(this->settings.max_store_outage_ms);
-    for (auto& [agent, link] : this->links) {
-      link->SetLeaseLimit(limit);
-    }
+    this->LimitLeases();
     for (auto& [agent, orders] :
          this->planner.TakeChangedOrders(this->committed)) {
       const auto link = this->links.find(agent);
@@ -330,6 +337,15 @@
     this->AcknowledgeEnds();
   }
 
+  void LimitLeases() {
+    const Instant limit =
+        std::min(this->resignation_limit,
+                 this->stored_at.After(this->settings.max_store_outage_ms));
+    for (auto& [agent, link] : this->links) {
+      link->SetLeaseLimit(limit);
+    }
+  }
+
   /// Acknowledges the run ends that have been stored.
   void AcknowledgeEnds() {
     std::erase_if(this->unacknowledged, [this](const InstanceId& agent) {
@@ -456,7 +472,9 @@
   std::uint64_t heartbeat = 0;
   /// Boot clock. Send time of the last append that was stored.
   Instant stored_at;
-  Instant previous_leases_end;
+  Instant earlier_leases_end;
+  /// Boot clock: no lease ends later, because this planner resigns.
+  Instant resignation_limit = Instant::Never();
   Instant began_at;
   bool agents_answered = false;
   Instant next_heartbeat_at;
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -4,16 +4,12 @@
 #include <utility>
 
 #include "packages/core/log.h"
+#include "packages/gateway/lease_bounds.h"
 #include "packages/rpc/task_key_codec.h"
 
 namespace carobrill::gateway {
 namespace {
 
-/// Clock rates may differ by 2 %. The rest covers rounding and the delay of a
-/// lease from the agent to its worker.
-constexpr std::int64_t kClockDriftPercent = 3;
-constexpr std::int64_t kLeaseMarginMs = 150;
-
 bool SameOrders(const std::vector<workload::TaskOrder>& a,
                 const std::vector<workload::TaskOrder>& b) {
   return std::ranges::equal(a, b, [](const auto& x, const auto& y) {
@@ -92,8 +88,7 @@
 void WorkerLink::ExtendLease(Instant now) {
   this->authority_ends_at = now.After(this->settings.lease_ms);
   this->lease_expires_at =
-      now.After(this->settings.lease_ms * (100 + kClockDriftPercent) / 100 +
-                kLeaseMarginMs);
+      now.After(MaxLeaseDurationMs(this->settings.lease_ms));
 }
 
 // The permission to renew leases ends at a time on the agent's own clock, so
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -470,6 +470,52 @@
   task.Run([&] { registration.reset(); });
 }
 
+TEST_CASE("a planner that takes over its own role waits for one lease only") {
+  // Guards against tasks of a machine that is lost shortly before the planner's
+  // process: the new process waited as if the old one could still grant leases.
+  Cluster cluster;
+  const GatewaySettings settings;
+  const auto newest_claim = [&] {
+    PlannerClaim result;
+    cluster.task.Run([&] {
+      for (const auto& entry : cluster.log.Entries(kProgressTopic)) {
+        const auto claim = DecodeClaim(entry.value);
+        if (entry.key == kPlannerKey && claim.has_value()) {
+          result = *claim;
+        }
+      }
+    });
+    return result;
+  };
+  // The first heartbeat says how long earlier leases may last from then on.
+  const auto start = [&](const std::string& name, std::uint64_t epoch) {
+    const std::size_t gateway = cluster.Add(name);
+    REQUIRE(cluster.WaitFor([&] {
+      const PlannerClaim claim = newest_claim();
+      return claim.epoch == epoch && claim.heartbeat > 0;
+    }));
+    return gateway;
+  };
+  const auto earlier_leases_ms = [&] {
+    return newest_claim().earlier_leases_left_ms.value_or(-1);
+  };
+  const std::size_t first = start("g1", 1);
+  const std::int64_t longest =
+      MaxLeaseDurationMs(settings.session.max_store_outage_ms);
+  CHECK(earlier_leases_ms() > longest - 1'000);
+  cluster.Remove(first);
+  const std::size_t other = start("g2", 2);
+  const std::int64_t after_takeover_ms = earlier_leases_ms();
+  CHECK(after_takeover_ms > longest - 1'000);
+  // Time for more heartbeats.
+  g_usleep(1'000'000);
+  cluster.Remove(other);
+  start("g2", 3);
+  // The leases of the first planner are still to be waited for, and no others.
+  CHECK(earlier_leases_ms() > longest - 3'000);
+  CHECK(earlier_leases_ms() < after_takeover_ms - 400);
+}
+
 TEST_CASE("a request to an earlier planner does not end a term") {
   // Guards against requests that a new planner reads from a snapshot.
   Cluster cluster;
--- a/tests/gateway/planner_session_test.cc
+++ b/tests/gateway/planner_session_test.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "packages/gateway/lease_bounds.h"
 #include "tests/gateway/faulty_log.h"
 #include "tests/gateway/memory_log.h"
 
@@ -48,7 +49,7 @@
         successor_log(this->task, this->memory),
         planner_log(this->metrics) {
     this->task.Run([this] {
-      this->session = this->MakeSession(1, this->log);
+      this->session = this->MakeSession(1, this->log, BootClock{}.Now());
       this->session->SetAgent(InstanceId("w1"), "w1");
       this->session->Start();
     });
@@ -63,15 +64,20 @@
 
   /// Cuts the planner off from the store, and lets another one take over that
   /// knows both agents.
-  void TakeOver() {
-    this->task.Run([this] {
+  void TakeOver(bool resigned) {
+    this->task.Run([&, this] {
       this->log.Reset();
       KeyedAppend claim;
       claim.topic = kProgressTopic;
       claim.writer = {2, 1};
       claim.deadline = Instant::Never();
       this->memory.Append(claim, [](const KeyedAppendReply&) {});
-      this->successor = this->MakeSession(2, this->successor_log);
+      const Instant earlier_leases_end =
+          BootClock{}.Now().After(EarlierLeasesMs(
+              {InstanceId("planner"), 1, 1, resigned, 0, {}, 0},
+              InstanceId("successor"), {kLeaseMs, this->max_store_outage_ms}));
+      this->successor =
+          this->MakeSession(2, this->successor_log, earlier_leases_end);
       for (const auto& [id, job] : this->session->Planner().Jobs()) {
         this->successor->Load(job);
       }
@@ -151,7 +157,8 @@
 
  private:
   std::unique_ptr<Session> MakeSession(std::uint64_t epoch,
-                                       FaultyLog& planner_store) {
+                                       FaultyLog& planner_store,
+                                       Instant earlier_leases_end) {
     PlannerSessionSettings settings;
     settings.max_store_outage_ms = this->max_store_outage_ms;
     settings.tick_ms = 10;
@@ -161,7 +168,7 @@
     settings.link.wait_ms = kAnswerDelayMs;
     return std::make_unique<Session>(
         this->task, planner_store, InstanceId("planner"), 0,
-        WriterIdentity{epoch, 1}, settings,
+        PlannerTerm{{epoch, 1}, earlier_leases_end}, settings,
         PlannerPorts{
             [this](const std::string& address,
                    const rpc::ExchangeRequest& request, Instant deadline,
@@ -305,12 +312,32 @@
   fixture.StartTask();
   fixture.task.Run([&] { fixture.agents["w1"].unreachable_from_epoch = 2; });
   const std::int64_t before = fixture.At("w1").authority_until_ms;
-  fixture.TakeOver();
+  fixture.TakeOver(/*resigned=*/false);
   const std::int64_t restarted_at = fixture.RestartedAt();
   const std::int64_t authority_until = fixture.At("w1").authority_until_ms;
   CHECK(authority_until > before);
   CHECK(restarted_at >= authority_until);
 }
 
+TEST_CASE("a planner that resigns grants no lease beyond the next one's wait") {
+  // Guards against two runs of a task when a planner's resignation is stored,
+  // its answer is lost, and the planner goes on.
+  SessionFixture fixture;
+  fixture.StartTask();
+  fixture.task.Run([&] {
+    fixture.agents["w1"].unreachable_from_epoch = 2;
+    fixture.log.failure = KeyedLogFailure::kNoAnswer;
+    fixture.session->Resign({});
+  });
+  g_usleep(50'000);
+  const Instant taken_over = BootClock{}.Now();
+  fixture.TakeOver(/*resigned=*/true);
+  const std::int64_t restarted_at = fixture.RestartedAt();
+  CHECK(restarted_at >= fixture.At("w1").authority_until_ms);
+  constexpr std::int64_t kSlackMs = 300;
+  CHECK(restarted_at <=
+        taken_over.After(MaxLeaseDurationMs(kLeaseMs) + kSlackMs).ms);
+}
+
 }  // namespace
 }  // namespace carobrill::gateway
