--- a/packages/gateway/planner_log.cc
+++ b/packages/gateway/planner_log.cc
@@ -40,7 +40,7 @@
     }
     Log(LogLevel::kInfo, NameOf(event.kind),
         {{"job", event.task.job.value},
-         {"task", event.task.Position()},
+         {"task", event.task.job.empty() ? "" : event.task.Position()},
          {"run", std::to_string(event.run)},
          {"worker", event.worker.value},
          {"detail", event.detail},
