Close connections with the last answers of a gateway that stops

Found while the SIGSEGV at SIGTERM was measured: clients that call without any pause on open connections keep a gateway from ever being idle. It did not end within 15 s in 5 of 5 shutdowns and would be killed at the end of the grace period, with calls in progress.

Cause: after the drain time the gateway closed its listening sockets and waited for a moment without an open request, but went on answering on open connections, which clients then used again.

Change: once a server has stopped listening, each response carries "Connection: close", so clients move to another gateway. A response that comes after the end of the server is dropped; it was a critical message of libsoup.

Test: role_shutdown_test.cc, "a gateway that is called without a pause ends after its drain time"; failed before (not ended after 5 s).

--- a/packages/http/http_server.cc
+++ b/packages/http/http_server.cc
@@ -20,6 +20,7 @@
 /// task.
 struct PendingExchange {
   SoupServerMessage* message = nullptr;
+  std::shared_ptr<detail::RequestTracker> tracker;
   gulong finished_handler = 0;
   bool finished = false;
   bool responded = false;
@@ -94,10 +95,16 @@
 
 // The client may have disconnected before the response is ready.
 void SendResponse(PendingExchange& exchange, const HttpResponse& response) {
-  if (exchange.finished || std::exchange(exchange.responded, true)) {
+  if (exchange.finished || std::exchange(exchange.responded, true) ||
+      exchange.tracker->phase == detail::ServerPhase::kClosed) {
     return;
   }
   WriteResponse(exchange.message, response);
+  if (exchange.tracker->phase == detail::ServerPhase::kClosing) {
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(exchange.message),
+        "Connection", "close");
+  }
   soup_server_message_unpause(exchange.message);
 }
 
@@ -146,8 +153,10 @@
   g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunk), data);
 }
 
-std::shared_ptr<PendingExchange> PauseMessage(SoupServerMessage* message) {
+std::shared_ptr<PendingExchange> PauseMessage(SoupServerMessage* message,
+                                              const TrackerRef& tracker) {
   auto exchange = std::make_shared<PendingExchange>();
+  exchange->tracker = tracker;
   exchange->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
   exchange->finished_handler = g_signal_connect(
       message, "finished", G_CALLBACK(OnMessageFinished), exchange.get());
@@ -158,8 +167,10 @@
 // The last reference must be released on the server's task, because it owns
 // objects of that task. So the responder moves its reference into the posted
 // message.
-HttpResponder MakeResponder(Task* task, SoupServerMessage* message) {
-  auto exchange = PauseMessage(message);
+HttpResponder MakeResponder(Task* task,
+                            SoupServerMessage* message,
+                            const TrackerRef& tracker) {
+  auto exchange = PauseMessage(message, tracker);
   return [task, exchange](HttpResponse response) mutable {
     task->Post([exchange = std::move(exchange),
                 response = std::move(response)]() mutable {
@@ -177,7 +188,8 @@
                gpointer data) {
   auto* handler_data = static_cast<HandlerData*>(data);
   TrackRequest(message, handler_data->tracker);
-  HttpResponder respond = MakeResponder(handler_data->task, message);
+  HttpResponder respond =
+      MakeResponder(handler_data->task, message, handler_data->tracker);
   // One request that cannot be handled must not end the process. The request
   // may have taken effect, which status 500 leaves open.
   try {
@@ -244,6 +256,7 @@
 HttpServer::~HttpServer() {
   this->RunOnTask([this] {
     this->tracker->when_idle = {};
+    this->tracker->phase = detail::ServerPhase::kClosed;
     soup_server_disconnect(this->server);
     g_object_unref(this->server);
   });
@@ -282,6 +295,7 @@
       g_socket_close(static_cast<GSocket*>(node->data), nullptr);
     }
     g_slist_free(sockets);
+    this->tracker->phase = detail::ServerPhase::kClosing;
   });
 }
 
--- a/packages/http/http_server.h
+++ b/packages/http/http_server.h
@@ -24,10 +24,15 @@
 
 namespace detail {
 
-/// Counts the unfinished requests of a server. Accessed only on the server's
+/// Phase of a server: while kClosing, each response closes its connection; once
+/// kClosed, no response is written.
+enum class ServerPhase { kOpen, kClosing, kClosed };
+
+/// State of a server and its unfinished requests. Accessed only on the server's
 /// task.
 struct RequestTracker {
   std::size_t open_requests = 0;
+  ServerPhase phase = ServerPhase::kOpen;
   std::function<void()> when_idle;
 };
 
@@ -56,7 +61,8 @@
   /// Fails with HttpListenError.
   Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
-  /// Closes the listening sockets; requests in progress continue.
+  /// Closes the listening sockets. Requests in progress continue, and each
+  /// response closes its connection, so that clients move to other servers.
   void StopListening();
 
   /// Runs `callback` once on the task when no request is open, that is, each
--- a/tests/adapter/role_shutdown_test.cc
+++ b/tests/adapter/role_shutdown_test.cc
@@ -6,7 +6,9 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -19,6 +21,9 @@
 namespace carobrill::adapter {
 namespace {
 
+constexpr const char* kGatewayCall =
+    "GET /jobs/0123456789abcdef HTTP/1.1\r\nHost: host\r\n\r\n";
+
 sockaddr_in LoopbackAddress(std::uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -129,9 +134,27 @@
   settings.gateway.front = Loopback(front);
   settings.gateway.ready = Loopback(FreePort());
   settings.gateway.store = Loopback(FreePort());
-  EndUnderLoad<GatewayRole>(settings, front,
-                            "GET /jobs/0123456789abcdef HTTP/1.1\r\n"
-                            "Host: host\r\n\r\n");
+  EndUnderLoad<GatewayRole>(settings, front, kGatewayCall);
+}
+
+TEST_CASE(
+    "a gateway that is called without a pause ends after its drain time") {
+  // Guards against a process that is killed with calls in progress, because
+  // clients on open connections never leave it idle.
+  daemon::Settings settings = InstanceSettings("gateway");
+  const std::uint16_t front = FreePort();
+  settings.gateway.front = Loopback(front);
+  settings.gateway.ready = Loopback(FreePort());
+  settings.gateway.store = Loopback(FreePort());
+  GatewayRole role(settings);
+  REQUIRE(role.Start());
+  const Callers callers(front, kGatewayCall);
+  std::promise<void> drained;
+  role.BeginShutdown([&] { drained.set_value(); });
+  // The shortest grace period that the platform names is 6 s.
+  CHECK(drained.get_future().wait_for(std::chrono::seconds(5)) ==
+        std::future_status::ready);
+  CHECK(callers.Answers() > 0);
 }
 
 TEST_CASE("an agent that is called while it shuts down does not crash") {
