--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -337,6 +337,7 @@
     this->AcknowledgeEnds();
   }
 
+  /// Tells the links how long the leases that they grant may last.
   void LimitLeases() {
     const Instant limit =
         std::min(this->resignation_limit,
@@ -472,6 +473,7 @@
   std::uint64_t heartbeat = 0;
   /// Boot clock. Send time of the last append that was stored.
   Instant stored_at;
+  /// As in PlannerTerm.
   Instant earlier_leases_end;
   /// Boot clock: no lease ends later, because this planner resigns.
   Instant resignation_limit = Instant::Never();
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -18,9 +18,8 @@
 /// Timing of exchanges with an agent, in ms.
 struct WorkerLinkSettings {
   /// How long an agent's leases last after its last report to the planner. Must
-  /// not exceed the longest time for which the platform (the
-  /// runners and the metadata store) lets a worker run a task without a renewed
-  /// lease.
+  /// not exceed the longest time for which the platform (the runners and the
+  /// metadata store) lets a worker run a task without a renewed lease.
   std::int64_t lease_ms = 5'500;
   /// How long an exchange waits for changes. Several fit into a lease.
   std::int64_t wait_ms = 1'000;
