--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -15,6 +15,7 @@
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/worker_control.pb.h"
 #include "packages/worker_agent/exchange_codec.h"
+#include "packages/worker_agent/lease_authority.h"
 #include "packages/worker_agent/order_sender.h"
 #include "packages/worker_agent/pace_controller.h"
 #include "packages/worker_agent/report_channel.h"
@@ -222,15 +223,9 @@
   }
 
   void ApplyRequest(const rpc::ExchangeRequest& request) {
-    const bool had_lease = this->lease_limit > BootClock{}.Now();
-    this->lease_limit = std::max(this->lease_limit,
-                                 Instant{request.authority_until_agent_ms()});
-    if (this->lease_limit > BootClock{}.Now() &&
-        !std::exchange(this->holds_authority, true)) {
-      Log(LogLevel::kInfo, "dependency regained",
-          {{"dependency", "planner"},
-           {"epoch", std::to_string(request.epoch())}});
-    }
+    const bool had_lease = this->authority.Valid();
+    this->authority.Extend(Instant{request.authority_until_agent_ms()},
+                           request.epoch());
     const bool same_incarnation =
         request.worker().id() == this->description.incarnation.id.value &&
         request.worker().born_unix_ms() ==
@@ -250,7 +245,7 @@
     // The call that waits for the worker's next run end renews no lease.
     const bool first_lease =
         !had_lease && this->lists_read &&
-        this->worker_clock.LeaseUntil(this->lease_limit) != 0;
+        this->worker_clock.LeaseUntil(this->authority.Until()) != 0;
     if (ends_acknowledged || first_lease) {
       this->ScheduleLeaseCall(0);
     }
@@ -299,7 +294,8 @@
 
   void SendStart(const DesiredRun& run, Instant now) {
     const RunKey key{run.task, run.run};
-    const std::int64_t until = this->worker_clock.LeaseUntil(this->lease_limit);
+    const std::int64_t until =
+        this->worker_clock.LeaseUntil(this->authority.Until());
     if (until == 0) {
       this->runs.OnStart(key, OrderResult::kLeaseExpired, now);
       return;
@@ -373,21 +369,8 @@
         });
   }
 
-  // Compared with the planner's worker_given_up, the time shows whether the
-  // planner waited until this agent could no longer renew.
-  void LogExpiredAuthority(Instant now) {
-    if (this->holds_authority && now >= this->lease_limit) {
-      this->holds_authority = false;
-      Log(LogLevel::kWarning, "dependency lost",
-          {{"dependency", "planner"},
-           {"worker", this->description.incarnation.id.value},
-           {"authority_ended_ms_ago",
-            std::to_string(now.ms - this->lease_limit.ms)}});
-    }
-  }
-
   void SendLeaseCall() {
-    this->LogExpiredAuthority(BootClock{}.Now());
+    this->authority.LogEnd(this->description.incarnation.id);
     if (this->description.incarnation.id.empty() || this->exited) {
       this->ScheduleLeaseCall(this->settings.retry_delay_ms);
       return;
@@ -398,7 +381,7 @@
         this->lists_read && !restarted ? this->settings.list_wait_ms : 0;
     this->port.RenewLeases(
         {this->fence, this->acknowledged_end,
-         restarted ? 0 : this->worker_clock.LeaseUntil(this->lease_limit),
+         restarted ? 0 : this->worker_clock.LeaseUntil(this->authority.Until()),
          wait_ms, this->description.incarnation.id},
         now.After(wait_ms + this->settings.answer_timeout_ms),
         [this, alive = this->alive, generation = this->lease_call_generation,
@@ -592,10 +575,7 @@
   WorkerExit restart_exit = WorkerExit::kCrash;
   /// Latest heartbeat of the new process; followed once those runs have ended.
   std::optional<WorkerHeartbeat> successor;
-  /// Until when the planner lets this agent renew leases (boot clock).
-  Instant lease_limit;
-  /// The planner lets this agent renew leases, as last logged.
-  bool holds_authority = false;
+  LeaseAuthority authority;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t listed_end = 0;
   WorkerClock worker_clock;
