--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -180,6 +180,18 @@
                     });
 }
 
+// With two planners or two agents in question, these lines tell which process
+// answered which of them, and when.
+void WorkerLink::LogProcess(const rpc::ExchangeReply& reply) const {
+  Log(LogLevel::kInfo, "agent_process_changed",
+      {{"agent", this->agent.value},
+       {"address", this->address},
+       {"incarnation", std::to_string(reply.agent_incarnation())},
+       {"worker", reply.worker().id()},
+       {"runs", std::to_string(reply.running_size())},
+       {"epoch", std::to_string(this->epoch)}});
+}
+
 void WorkerLink::ApplyReport(const rpc::ExchangeReply& reply) {
   const bool agent_restarted =
       reply.agent_incarnation() != this->agent_incarnation;
@@ -192,6 +204,10 @@
   }
   this->agent_incarnation = reply.agent_incarnation();
   this->seen_report = reply.report();
+  const bool first = !std::exchange(this->has_reported, true);
+  if (first || agent_restarted) {
+    this->LogProcess(reply);
+  }
   const Instant now = BootClock{}.Now();
   // The agent read its clock before the reply was transmitted, so the offset is
   // never too large.
@@ -199,7 +215,6 @@
   this->connected = true;
   // An earlier planner may have granted a lease until just before the agent
   // followed this one, also if the agent has restarted since.
-  const bool first = !std::exchange(this->has_reported, true);
   if (first || !reply.worker().id().empty()) {
     this->ExtendLease(now);
   }
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -93,6 +93,7 @@
                std::uint64_t sequence);
   void OnFailure(const rpc::RpcResult<rpc::ExchangeReply>& reply);
   void ApplyReport(const rpc::ExchangeReply& reply);
+  void LogProcess(const rpc::ExchangeReply& reply) const;
   void ExtendLease(Instant now);
   void GrantLease(rpc::ExchangeRequest& request, Instant now) const;
 
