Confirm the planner's role before a restarted agent follows it

What callers saw: a task ran on two workers at once. Shown by a test only. Cause: an agent knows the planner in office by the highest epoch that it has followed, and a process that has just started has followed none. A planner that was replaced without learning of it (cut off from the store and from the other agents, or just resumed) could reach that process first, order its own runs and grant leases until its limit of 15 s. The present planner, cut off from the agent, waits for its own last lease. Why it works: orders and leases for a new process of an agent are sent only after an append that was sent after its first answer has been stored. The store rejects the append of a planner that was replaced. An agent that goes on keeps its leases while the store is away, as before; one that restarts while the store is away loses its runs with the lease. Measured: 44 of 44 gateway tests, the new one included. The fixture of worker_link_test confirms the role after each answer, as the session does; the checks are as before.

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -294,14 +294,30 @@
     }
     this->commits.Store(
         std::move(entries),
-        [this, commit, resigning](Instant sent) {
+        [this, commit, resigning, append = ++this->appends](Instant sent) {
           this->OnStored(commit, sent, resigning);
+          this->ConfirmRole(append);
         },
         [this](KeyedLogFailure failure) {
           this->End(std::string(NameOf(failure)));
         });
   }
 
+  /// Tells the links whose agents had answered before the append was sent that
+  /// no other planner had taken over by then.
+  void ConfirmRole(std::uint64_t append) {
+    std::erase_if(this->unconfirmed, [&](const auto& entry) {
+      if (entry.second >= append) {
+        return false;
+      }
+      const auto link = this->links.find(entry.first);
+      if (link != this->links.end()) {
+        link->second->ConfirmRole();
+      }
+      return true;
+    });
+  }
+
   void OnStored(std::uint64_t commit, Instant sent, bool resigning) {
     this->committed = commit;
     this->stored_at = sent;
@@ -386,6 +402,11 @@
               this->unacknowledged.insert(agent);
               this->SchedulePass();
             },
+            [this](const InstanceId& agent) {
+              this->unconfirmed[agent] = this->appends;
+              this->next_heartbeat_at = BootClock{}.Now();
+              this->SchedulePass();
+            },
             [this](std::uint64_t other) {
               this->task.Post([this, alive = this->alive, other] {
                 if (*alive) {
@@ -469,6 +490,11 @@
   std::map<InstanceId, RunEndProgress> run_ends;
   /// Agents whose latest run ends have not been acknowledged.
   std::set<InstanceId> unacknowledged;
+  /// Number of appends that have been sent.
+  std::uint64_t appends = 0;
+  /// Agents whose present process has not been confirmed to have this planner,
+  /// with the value of `appends` when it first answered.
+  std::map<InstanceId, std::uint64_t> unconfirmed;
   std::uint64_t committed = 0;
   std::uint64_t heartbeat = 0;
   /// Boot clock. Send time of the last append that was stored.
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -103,16 +103,18 @@
   request.set_authority_until_agent_ms(until.ms + this->clock_offset_ms);
 }
 
-void WorkerLink::Send(std::int64_t wait_ms) {
-  const Instant now = BootClock{}.Now();
-  rpc::ExchangeRequest request;
-  request.set_epoch(this->epoch);
-  request.set_sequence(++this->sequence);
+// An agent that has just started knows no epoch, and would follow a planner
+// that has been replaced.
+void WorkerLink::ConfirmRole() {
+  if (std::exchange(this->role_confirmed, true) || !this->connected) {
+    return;
+  }
+  this->Send(this->settings.wait_ms);
+}
+
+void WorkerLink::AddOrders(rpc::ExchangeRequest& request) const {
   *request.mutable_worker() = this->worker;
   request.set_acknowledged_end(this->acknowledged_end);
-  request.set_wait_ms(wait_ms);
-  request.set_seen_report(this->seen_report);
-  this->GrantLease(request, now);
   for (const workload::TaskOrder& order : this->orders) {
     auto* message = request.add_orders();
     *message->mutable_task() = rpc::ToProto(order.task);
@@ -128,6 +130,19 @@
     message->set_memory_mb(order.demand.memory_mb);
     message->set_accelerators(order.demand.accelerators);
   }
+}
+
+void WorkerLink::Send(std::int64_t wait_ms) {
+  const Instant now = BootClock{}.Now();
+  rpc::ExchangeRequest request;
+  request.set_epoch(this->epoch);
+  request.set_sequence(++this->sequence);
+  request.set_wait_ms(wait_ms);
+  request.set_seen_report(this->seen_report);
+  if (this->role_confirmed) {
+    this->GrantLease(request, now);
+    this->AddOrders(request);
+  }
   this->exchange(this->address, request,
                  now.After(wait_ms + this->settings.answer_timeout_ms),
                  [this, alive = this->alive, sequence = this->sequence](
@@ -207,6 +222,8 @@
   const bool first = !std::exchange(this->has_reported, true);
   if (first || agent_restarted) {
     this->LogProcess(reply);
+    this->role_confirmed = false;
+    this->callbacks.on_process_changed(this->agent);
   }
   const Instant now = BootClock{}.Now();
   // The agent read its clock before the reply was transmitted, so the offset is
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -48,6 +48,9 @@
   /// Called when the link has dropped its orders because the agent reports
   /// another incarnation of its worker.
   std::function<void(const InstanceId&)> on_orders_dropped;
+  /// Called when a process of the agent answers for the first time. It gets
+  /// neither orders nor leases until ConfirmRole().
+  std::function<void(const InstanceId&)> on_process_changed;
   /// Called when the agent follows a planner with a higher epoch.
   std::function<void(std::uint64_t epoch)> on_superseded;
 };
@@ -80,6 +83,10 @@
   /// Replaces only the acknowledged end.
   void SetAcknowledgedEnd(std::uint64_t acknowledged_end);
 
+  /// The planner was still in office after the agent's present process had
+  /// answered.
+  void ConfirmRole();
+
   /// Sets how long an exchange waits for changes, in ms.
   void SetWaitMs(std::int64_t wait_ms) { this->settings.wait_ms = wait_ms; }
 
@@ -96,6 +103,7 @@
   void LogProcess(const rpc::ExchangeReply& reply) const;
   void ExtendLease(Instant now);
   void GrantLease(rpc::ExchangeRequest& request, Instant now) const;
+  void AddOrders(rpc::ExchangeRequest& request) const;
 
   Task& task;
   InstanceId agent;
@@ -111,6 +119,8 @@
   bool has_failed = false;
   /// The agent has answered this planner.
   bool has_reported = false;
+  /// As of ConfirmRole().
+  bool role_confirmed = false;
   /// Agent clock minus boot clock of this process. Never greater than the true
   /// difference.
   std::int64_t clock_offset_ms = 0;
--- a/tests/gateway/planner_session_test.cc
+++ b/tests/gateway/planner_session_test.cc
@@ -28,6 +28,15 @@
   bool shutting_down = false;
   /// Planners of this epoch and later ones do not reach the agent.
   std::uint64_t unreachable_from_epoch = 1'000;
+  /// Planners of earlier epochs do not reach the agent.
+  std::uint64_t unreachable_below_epoch = 0;
+  bool ReachableBy(std::uint64_t planner_epoch) const {
+    return planner_epoch >= this->unreachable_below_epoch &&
+           planner_epoch < this->unreachable_from_epoch;
+  }
+  /// Highest epoch that this process of the agent has followed.
+  std::uint64_t epoch = 0;
+  std::uint64_t incarnation = 1;
   std::uint64_t report = 0;
   std::int64_t authority_until_ms = 0;
   /// Boot clock: first request with an order to start a task; 0 for none.
@@ -194,10 +203,11 @@
                              const rpc::ExchangeRequest& request) {
     ScriptedAgent& agent = this->agents[name];
     rpc::ExchangeReply reply;
-    reply.set_accepted(!agent.shutting_down);
+    reply.set_accepted(!agent.shutting_down && request.epoch() == agent.epoch);
+    reply.set_highest_epoch(agent.epoch);
     reply.set_report(++agent.report);
     reply.set_agent_clock_ms(BootClock{}.Now().ms);
-    reply.set_agent_incarnation(1);
+    reply.set_agent_incarnation(agent.incarnation);
     reply.mutable_worker()->set_id(name);
     reply.mutable_worker()->set_born_unix_ms(1);
     reply.set_availability(
@@ -223,10 +233,15 @@
       reply.failure = rpc::RpcFailure::kTimeout;
       done(reply);
     };
-    if (request.epoch() >= agent.unreachable_from_epoch) {
+    if (!agent.ReachableBy(request.epoch())) {
       this->task.PostAt(deadline, time_out);
       return;
     }
+    if (request.epoch() < agent.epoch) {
+      done({rpc::RpcFailure::kNone, {}, this->ReplyOf(address, request)});
+      return;
+    }
+    agent.epoch = request.epoch();
     agent.authority_until_ms =
         std::max(agent.authority_until_ms, request.authority_until_agent_ms());
     if (agent.ordered_at_ms == 0 && request.orders_size() > 0) {
@@ -242,7 +257,8 @@
     const std::int64_t delay_ms =
         request.wait_ms() > 0 && !agent.shutting_down ? kAnswerDelayMs : 0;
     this->task.PostAt(now.After(delay_ms), [=, this] {
-      if (BootClock{}.Now() > deadline) {
+      if (BootClock{}.Now() > deadline ||
+          !this->agents[address].ReachableBy(request.epoch())) {
         time_out();
         return;
       }
@@ -319,6 +335,29 @@
   CHECK(restarted_at >= authority_until);
 }
 
+TEST_CASE("a restarted agent gets no lease from a planner that was replaced") {
+  // Guards against two runs of a task: its agent forgets the planner in office
+  // when it restarts, and follows an earlier one that is cut off.
+  SessionFixture fixture;
+  fixture.StartTask();
+  fixture.task.Run([&] { fixture.agents["w1"].unreachable_below_epoch = 2; });
+  fixture.TakeOver(/*resigned=*/true);
+  REQUIRE(fixture.WaitFor([&] { return fixture.At("w1").epoch == 2; }));
+  const std::int64_t before = fixture.At("w1").authority_until_ms;
+  REQUIRE(fixture.WaitFor(
+      [&] { return fixture.At("w1").authority_until_ms > before; }));
+  fixture.task.Run([&] {
+    ScriptedAgent& agent = fixture.agents["w1"];
+    agent.epoch = 0;
+    agent.incarnation = 2;
+    agent.unreachable_below_epoch = 0;
+    agent.unreachable_from_epoch = 2;
+  });
+  REQUIRE(fixture.WaitFor([&] { return fixture.At("w1").epoch == 1; }));
+  const std::int64_t restarted_at = fixture.RestartedAt();
+  CHECK(restarted_at >= fixture.At("w1").authority_until_ms);
+}
+
 TEST_CASE("a planner that resigns grants no lease beyond the next one's wait") {
   // Guards against two runs of a task when a planner's resignation is stored,
   // its answer is lost, and the planner goes on.
--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -20,6 +20,7 @@
       this->lease_expires_at = lease_expires_at;
     };
     callbacks.on_orders_dropped = [](const InstanceId&) {};
+    callbacks.on_process_changed = [](const InstanceId&) {};
     this->task.Run([&] {
       this->link = std::make_unique<WorkerLink>(
           this->task, InstanceId("a"), "a", 1, this->settings,
@@ -46,6 +47,7 @@
       reply.value.set_agent_clock_ms(BootClock{}.Now().ms);
       const auto answer = std::exchange(this->callback, nullptr);
       answer(reply);
+      this->link->ConfirmRole();
     });
   }
 
@@ -109,6 +111,7 @@
   WorkerLinkCallbacks callbacks;
   callbacks.on_report = [](const InstanceId&, const rpc::ExchangeReply&,
                            Instant) {};
+  callbacks.on_process_changed = [](const InstanceId&) {};
   task.Run([&] {
     link = std::make_unique<WorkerLink>(
         task, InstanceId("a"), "a", 1, WorkerLinkSettings{},
@@ -122,6 +125,7 @@
     reply.value.set_accepted(true);
     const auto answer_first = replies.front();
     answer_first(reply);
+    link->ConfirmRole();
     workload::TaskOrder order;
     order.task = {JobId("j"), 0, 0, 0};
     order.run = 1;
