--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -15,7 +15,9 @@
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/worker_control.pb.h"
 #include "packages/worker_agent/exchange_codec.h"
+#include "packages/worker_agent/heartbeat_order.h"
 #include "packages/worker_agent/lease_authority.h"
+#include "packages/worker_agent/lease_timer.h"
 #include "packages/worker_agent/order_sender.h"
 #include "packages/worker_agent/pace_controller.h"
 #include "packages/worker_agent/report_channel.h"
@@ -49,7 +51,9 @@
         runs(settings.runs),
         pace(settings.pace),
         fence(static_cast<std::uint64_t>(WallClock{}.Now().ms)),
-        probe(task, port, settings.probe, this->ProbeCallbacks()) {}
+        probe(task, port, settings.probe, this->ProbeCallbacks()),
+        heartbeat_order(settings.max_late_heartbeats_ms),
+        lease_timer(task, [this] { this->SendLeaseCall(); }) {}
 
   ~WorkerAgent() { *this->alive = false; }
 
@@ -57,7 +61,7 @@
   WorkerAgent& operator=(const WorkerAgent&) = delete;
 
   /// Starts the loop that renews the leases and reads the worker's lists.
-  void Start() { this->ScheduleLeaseCall(0); }
+  void Start() { this->lease_timer.Schedule(0); }
 
   /// Handles a heartbeat. Anyone may send one, so one that names another
   /// incarnation than the present one is followed only after the worker has
@@ -71,8 +75,8 @@
       this->probe.VerifyHeartbeat(heartbeat, std::move(done));
       return;
     }
-    if (this->ArrivesLate(heartbeat) || this->exited || this->leaving ||
-        this->restarted_born_ms.has_value()) {
+    if (this->heartbeat_order.ArrivesLate(heartbeat.sequence) || this->exited ||
+        this->leaving || this->restarted_born_ms.has_value()) {
       Log(LogLevel::kInfo, "ignoring outdated heartbeat",
           {{"worker", life.id.value},
            {"sequence", std::to_string(heartbeat.sequence)}});
@@ -110,19 +114,6 @@
   }
 
  private:
-  // The heartbeats that a partition has delayed arrive together.
-  bool ArrivesLate(const WorkerHeartbeat& heartbeat) {
-    if (heartbeat.sequence >= this->sequence) {
-      this->late_until.reset();
-      return false;
-    }
-    const Instant now = BootClock{}.Now();
-    if (!this->late_until.has_value()) {
-      this->late_until = now.After(this->settings.max_late_heartbeats_ms);
-    }
-    return now < *this->late_until;
-  }
-
   bool Draining() const {
     return this->description.availability ==
            workload::WorkerAvailability::kDraining;
@@ -149,7 +140,7 @@
     const bool new_incarnation =
         heartbeat.description.incarnation != this->description.incarnation;
     this->description = heartbeat.description;
-    this->sequence = heartbeat.sequence;
+    this->heartbeat_order.Follow(heartbeat.sequence);
     if (new_incarnation) {
       this->BeginIncarnation();
     }
@@ -240,14 +231,14 @@
         std::max(this->acknowledged_end, request.acknowledged_end());
     this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now());
     this->SendDue();
-    const bool ends_acknowledged =
-        this->lease_call_delayed && this->acknowledged_end >= this->listed_end;
+    const bool ends_acknowledged = this->lease_timer.Delayed() &&
+                                   this->acknowledged_end >= this->listed_end;
     // The call that waits for the worker's next run end renews no lease.
     const bool first_lease =
         !had_lease && this->lists_read &&
         this->worker_clock.LeaseUntil(this->authority.Until()) != 0;
     if (ends_acknowledged || first_lease) {
-      this->ScheduleLeaseCall(0);
+      this->lease_timer.Schedule(0);
     }
   }
 
@@ -356,23 +347,10 @@
     this->ReportChanges();
   }
 
-  void ScheduleLeaseCall(std::int64_t delay_ms) {
-    this->lease_call_delayed = delay_ms > 0;
-    this->task.PostAt(
-        BootClock{}.Now().After(delay_ms),
-        [this, alive = this->alive,
-         generation = ++this->lease_call_generation] {
-          if (*alive && generation == this->lease_call_generation) {
-            this->lease_call_delayed = false;
-            this->SendLeaseCall();
-          }
-        });
-  }
-
   void SendLeaseCall() {
     this->authority.LogEnd(this->description.incarnation.id);
     if (this->description.incarnation.id.empty() || this->exited) {
-      this->ScheduleLeaseCall(this->settings.retry_delay_ms);
+      this->lease_timer.Schedule(this->settings.retry_delay_ms);
       return;
     }
     const Instant now = BootClock{}.Now();
@@ -384,10 +362,10 @@
          restarted ? 0 : this->worker_clock.LeaseUntil(this->authority.Until()),
          wait_ms, this->description.incarnation.id},
         now.After(wait_ms + this->settings.answer_timeout_ms),
-        [this, alive = this->alive, generation = this->lease_call_generation,
+        [this, alive = this->alive, call = this->lease_timer.CurrentCall(),
          life = this->description.incarnation,
          sent = now](const LeaseReply& reply) {
-          if (*alive && generation == this->lease_call_generation) {
+          if (*alive && call == this->lease_timer.CurrentCall()) {
             this->OnLeaseReply(reply, life, sent);
           }
         });
@@ -397,7 +375,7 @@
                     const workload::WorkerIncarnation& life,
                     Instant sent) {
     if (life != this->description.incarnation) {
-      this->ScheduleLeaseCall(0);
+      this->lease_timer.Schedule(0);
       return;
     }
     if (reply.result != OrderResult::kDone) {
@@ -415,7 +393,7 @@
         return;
       }
       this->EndIncarnation("the worker restarted", this->ExitKind());
-      this->ScheduleLeaseCall(this->settings.retry_delay_ms);
+      this->lease_timer.Schedule(this->settings.retry_delay_ms);
       return;
     }
     this->ApplyLists(reply, sent);
@@ -439,8 +417,8 @@
     // While listed ends are not stored yet, the worker would answer immediately
     // with the same list.
     const bool has_unstored_ends = this->listed_end > this->acknowledged_end;
-    this->ScheduleLeaseCall(has_unstored_ends ? this->settings.ack_poll_delay_ms
-                                              : 0);
+    this->lease_timer.Schedule(
+        has_unstored_ends ? this->settings.ack_poll_delay_ms : 0);
   }
 
   void OnLeaseFailure(OrderResult result) {
@@ -453,7 +431,7 @@
     } else if (this->refusals >= this->settings.max_refused_connections) {
       this->EndIncarnation("connections refused", this->ExitKind());
     }
-    this->ScheduleLeaseCall(this->settings.retry_delay_ms);
+    this->lease_timer.Schedule(this->settings.retry_delay_ms);
   }
 
   // The worker has started again under its id, and a start for the earlier
@@ -478,7 +456,7 @@
     this->runs.OnWorkerRestarted(this->restart_exit, BootClock{}.Now());
     this->reports.Report();
     this->SendDue();
-    this->ScheduleLeaseCall(0);
+    this->lease_timer.Schedule(0);
   }
 
   void OnRestartedLists(const LeaseReply& reply, Instant sent) {
@@ -489,12 +467,12 @@
     this->runs.OnLists(reply, sent, BootClock{}.Now());
     if (!this->runs.AllEnded()) {
       this->SendDue();
-      this->ScheduleLeaseCall(this->settings.ack_poll_delay_ms);
+      this->lease_timer.Schedule(this->settings.ack_poll_delay_ms);
       return;
     }
     this->EndIncarnation("the worker restarted", this->restart_exit);
     if (!this->successor.has_value()) {
-      this->ScheduleLeaseCall(this->settings.retry_delay_ms);
+      this->lease_timer.Schedule(this->settings.retry_delay_ms);
       return;
     }
     // The lists of the new process may contain ends of these runs, so they are
@@ -556,10 +534,7 @@
   workload::WorkerDescription description;
   /// The incarnation that crashed last; empty for none.
   workload::WorkerIncarnation last_crashed;
-  std::uint64_t sequence = 0;
-  /// Until when heartbeats with a lower sequence number count as late; not set
-  /// after one that arrived in order.
-  std::optional<Instant> late_until;
+  HeartbeatOrder heartbeat_order;
   /// The worker's lists have been read in this incarnation.
   bool lists_read = false;
   /// Boot clock: when the worker last returned its lists.
@@ -580,8 +555,7 @@
   std::uint64_t listed_end = 0;
   WorkerClock worker_clock;
   std::uint64_t reported_version = 1;
-  std::uint64_t lease_call_generation = 0;
-  bool lease_call_delayed = false;
+  LeaseTimer lease_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
