Name the worker to its agent only once its orders are known

What callers see: after another planner has taken over, a task may run twice, or running work is stopped while the new planner is slow to plan.

Cause: a link cleared its orders when the agent named a worker that it did not know, which is always so for the first report to a new planner, and answered at once with an exchange that named the worker and carried no orders. The agent took the empty set for the complete one and forgot its runs. A start that the worker had left unanswered, and may still carry out, was then treated as new: when its repetition was refused, the run was reported as refused without the stop that keeps the late start from running. If the full set came later than unexpected_grace_ms, the running work was stopped.

The exchange now names the worker only after the planner session has set the orders for it, also if there are none. Until then the agent keeps the orders that it has. Leases don't depend on it: the agent renews them on the first grant, as before.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -63,8 +63,9 @@
 
 void WorkerLink::SetOrders(std::vector<workload::TaskOrder> orders,
                            std::uint64_t acknowledged_end) {
-  const bool same = SameOrders(this->orders, orders) &&
+  const bool same = this->orders_known && SameOrders(this->orders, orders) &&
                     acknowledged_end == this->acknowledged_end;
+  this->orders_known = true;
   this->orders = std::move(orders);
   this->acknowledged_end = acknowledged_end;
   if (!same && this->connected) {
@@ -113,7 +114,10 @@
 }
 
 void WorkerLink::AddOrders(rpc::ExchangeRequest& request) const {
-  *request.mutable_worker() = this->worker;
+  // The agent takes the orders for a named worker as the complete set.
+  if (this->orders_known) {
+    *request.mutable_worker() = this->worker;
+  }
   request.set_acknowledged_end(this->acknowledged_end);
   for (const workload::TaskOrder& order : this->orders) {
     auto* message = request.add_orders();
@@ -240,6 +244,7 @@
     this->worker = reply.worker();
     this->acknowledged_end = 0;
     this->orders.clear();
+    this->orders_known = false;
     this->callbacks.on_orders_dropped(this->agent);
   }
   this->callbacks.on_report(this->agent, reply, this->lease_expires_at);
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -56,8 +56,8 @@
 };
 
 /// The planner's connection to one agent. Keeps one long-polling exchange open,
-/// and sends another immediately when the orders change. Each exchange carries
-/// the complete set of the agent's orders.
+/// and sends another immediately when the orders change. Each exchange that
+/// names a worker carries the complete set of orders for it.
 class WorkerLink {
  public:
   WorkerLink(Task& task,
@@ -113,6 +113,8 @@
   ExchangeFunction exchange;
   WorkerLinkCallbacks callbacks;
   std::vector<workload::TaskOrder> orders;
+  /// The orders for the present worker have been set.
+  bool orders_known = false;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t sequence = 0;
   bool connected = false;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -217,6 +217,18 @@
     const bool had_lease = this->authority.Valid();
     this->authority.Extend(Instant{request.authority_until_agent_ms()},
                            request.epoch());
+    // The call that waits for the worker's next run end renews no lease.
+    const bool first_lease =
+        !had_lease && this->lists_read &&
+        this->worker_clock.LeaseUntil(this->authority.Until()) != 0;
+    const bool ends_acknowledged = this->ApplyOrders(request);
+    if (first_lease || ends_acknowledged) {
+      this->lease_timer.Schedule(0);
+    }
+  }
+
+  /// Returns whether the next lease call need not wait for acknowledged ends.
+  bool ApplyOrders(const rpc::ExchangeRequest& request) {
     const bool same_incarnation =
         request.worker().id() == this->description.incarnation.id.value &&
         request.worker().born_unix_ms() ==
@@ -225,21 +237,14 @@
     // counts the ends of that process.
     if (!same_incarnation || request.worker().id().empty() ||
         this->restarted_born_ms.has_value()) {
-      return;
+      return false;
     }
     this->acknowledged_end =
         std::max(this->acknowledged_end, request.acknowledged_end());
     this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now());
     this->SendDue();
-    const bool ends_acknowledged = this->lease_timer.Delayed() &&
-                                   this->acknowledged_end >= this->listed_end;
-    // The call that waits for the worker's next run end renews no lease.
-    const bool first_lease =
-        !had_lease && this->lists_read &&
-        this->worker_clock.LeaseUntil(this->authority.Until()) != 0;
-    if (ends_acknowledged || first_lease) {
-      this->lease_timer.Schedule(0);
-    }
+    return this->lease_timer.Delayed() &&
+           this->acknowledged_end >= this->listed_end;
   }
 
   rpc::ExchangeReply Reply() const {
--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -10,6 +10,13 @@
 namespace carobrill::gateway {
 namespace {
 
+std::vector<workload::TaskOrder> MakeOrders() {
+  workload::TaskOrder order;
+  order.task = {JobId("j"), 0, 0, 0};
+  order.run = 1;
+  return {order};
+}
+
 /// A link whose exchanges are answered by the test.
 class LinkFixture {
  public:
@@ -90,18 +97,35 @@
   fixture.Report("w", 1);
   // Longer than the margin that the planner adds to a lease.
   g_usleep(400'000);
-  fixture.task.Run([&] {
-    workload::TaskOrder order;
-    order.task = {JobId("j"), 0, 0, 0};
-    order.run = 1;
-    fixture.link->SetOrders({order}, 0);
-  });
+  fixture.task.Run([&] { fixture.link->SetOrders(MakeOrders(), 0); });
   REQUIRE(fixture.request.orders_size() == 1);
   CHECK(fixture.request.authority_until_agent_ms() > 0);
   CHECK(fixture.request.authority_until_agent_ms() <=
         fixture.lease_expires_at.ms);
 }
 
+TEST_CASE("no worker is named before its orders are known") {
+  // Guards against an agent that drops the runs of an earlier planner.
+  LinkFixture fixture;
+  fixture.Report("w", 1);
+  CHECK(fixture.request.authority_until_agent_ms() > 0);
+  CHECK(fixture.request.worker().id().empty());
+  fixture.task.Run([&] { fixture.link->SetAcknowledgedEnd(5); });
+  CHECK(fixture.request.worker().id().empty());
+  SUBCASE("orders follow") {
+    fixture.task.Run([&] { fixture.link->SetOrders(MakeOrders(), 5); });
+    CHECK(fixture.request.orders_size() == 1);
+  }
+  SUBCASE("the worker has no orders") {
+    fixture.task.Run([&] { fixture.link->SetOrders({}, 5); });
+    CHECK(fixture.request.orders_size() == 0);
+  }
+  CHECK(fixture.request.worker().id() == "w");
+  CHECK(fixture.request.acknowledged_end() == 5);
+  fixture.Report("other", 1);
+  CHECK(fixture.request.worker().id().empty());
+}
+
 TEST_CASE("an order carries what the run takes of the worker's capacity") {
   // Guards against an agent that cannot check a capacity that has shrunk.
   Task task("test");
