Remove a job's progress only after its submission

Jobs also stay in the log for good, or their progress does.

Cause: when the retention time of a job was over, the planner dropped it from memory and sent two appends at once: the removal of its progress, with the planner's sequence and retried, and the removal of its submission, without either and never repeated. Submission and progress are in two topics. If the second append was refused or lost, or the process ended in between, the submission stayed without its progress, which is what a new job looks like. If the first was fenced, the progress stayed for good, since no planner looked at progress without a submission. A submission whose append took effect late, after the removal, was a new job as well.

The submission is now removed first (JobRemoval): for all jobs that have expired, in one append, repeated each second until it is stored. Only then does the planner remove the progress, with its next commit, and forget the job. A job counts as expired only when its end is stored. A new planner, which has read all submissions up to its claim, continues with the jobs that have progress and no submission. A submission that is stored again before the progress is gone finds the end and is removed again. A submission that cannot be decoded is not taken for a removed one.

--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "packages/core/keyed_log.h"
 #include "packages/core/metrics.h"
@@ -106,7 +107,9 @@
                  {[this](const KeyedRecord& record) {
                     this->OnProgressRecord(record);
                   },
-                  [](const std::set<std::string>&) {}}),
+                  [this](const std::set<std::string>& keys) {
+                    this->view.RetainProgress(keys);
+                  }}),
         agents(task,
                log,
                kAgentTopic,
@@ -237,16 +240,19 @@
     if (this->session == nullptr || change == IntakeChange::kNone) {
       return;
     }
-    const bool accepted = change == IntakeChange::kAccepted;
+    const bool cancelled = change == IntakeChange::kCancelled;
     const auto id =
-        JobIdFromKey(record.entry.key, accepted ? kJobPrefix : kCancelPrefix);
+        JobIdFromKey(record.entry.key, cancelled ? kCancelPrefix : kJobPrefix);
     if (!id.has_value()) {
       return;
     }
-    if (accepted) {
-      this->session->Submit(this->view.Find(*id)->submission);
+    const workload::Job& job = *this->view.Find(*id);
+    if (change == IntakeChange::kAccepted) {
+      this->session->Submit(job.submission);
+    } else if (change == IntakeChange::kRestored) {
+      this->session->Restore(job);
     }
-    if (!accepted || this->view.Find(*id)->cancel_requested) {
+    if (cancelled || job.cancel_requested) {
       this->session->Cancel(*id);
     }
   }
@@ -498,12 +504,13 @@
             this->EndTerm(reason);
           }
         });
-    this->session->on_expired = [this](const JobId& id) {
-      this->RemoveSubmission(id);
-    };
     for (const auto& [id, job] : this->view.Jobs()) {
       this->session->Load(job);
     }
+    const std::vector<JobId> removed = this->view.RemovedJobs();
+    for (const JobId& id : removed) {
+      this->session->RemoveProgress(id);
+    }
     this->session->SetGuarantees(this->configuration->guaranteed_accelerators);
     for (const auto& [agent, address] : this->agent_addresses) {
       this->session->SetAgent(agent, address);
@@ -513,6 +520,7 @@
     Log(LogLevel::kInfo, "planner_term_begins",
         {{"epoch", std::to_string(epoch)},
          {"jobs", std::to_string(this->view.Jobs().size())},
+         {"removed_jobs", std::to_string(removed.size())},
          {"agents", std::to_string(this->agent_addresses.size())}});
     this->session->Start();
   }
@@ -527,21 +535,6 @@
     this->lease.RestartSilence(BootClock{}.Now());
   }
 
-  void RemoveSubmission(const JobId& id) {
-    KeyedAppend append;
-    append.topic = kIntakeTopic;
-    append.entries = {{JobKey(id), {}}, {CancelKey(id), {}}};
-    append.deadline =
-        BootClock{}.Now().After(this->settings.follower.answer_timeout_ms);
-    this->log.Append(append, [id](const KeyedAppendReply& reply) {
-      if (reply.failure != KeyedLogFailure::kNone) {
-        Log(LogLevel::kWarning, "failed to remove an expired job from the log",
-            {{"job", id.value},
-             {"reason", std::string(NameOf(reply.failure))}});
-      }
-    });
-  }
-
   Task& task;
   LogStore& log;
   GatewaySettings settings;
--- a/packages/gateway/job_view.cc
+++ b/packages/gateway/job_view.cc
@@ -31,8 +31,7 @@
     return IntakeChange::kNone;
   }
   if (entry.value.empty()) {
-    this->jobs.erase(*id);
-    this->early_progress.erase(*id);
+    this->RemoveSubmission(*id);
     return IntakeChange::kNone;
   }
   return this->Accept(*id, entry.value);
@@ -50,29 +49,54 @@
             {{"job", error.key}});
       });
   if (!submission.has_value()) {
+    this->malformed.insert(id);
     return IntakeChange::kNone;
   }
+  this->malformed.erase(id);
   Job job = Job::Of(std::move(*submission));
   job.cancel_requested = this->cancelled.contains(id);
-  const auto early = this->early_progress.find(id);
-  if (early != this->early_progress.end()) {
-    this->ReadProgress(job, early->second);
-    this->early_progress.erase(early);
+  const auto progress = this->other_progress.find(id);
+  const bool has_progress = progress != this->other_progress.end();
+  if (has_progress) {
+    this->ReadProgress(job, progress->second);
+    this->other_progress.erase(progress);
+    this->with_progress.insert(id);
   }
   this->jobs.emplace(id, std::move(job));
-  return IntakeChange::kAccepted;
+  return has_progress ? IntakeChange::kRestored : IntakeChange::kAccepted;
+}
+
+// The progress is kept for a submission that is stored again before the
+// progress has been removed as well.
+void JobView::RemoveSubmission(const JobId& id) {
+  this->malformed.erase(id);
+  const auto job = this->jobs.find(id);
+  if (job == this->jobs.end()) {
+    return;
+  }
+  if (this->with_progress.erase(id) != 0) {
+    this->other_progress[id] = workload::EncodeProgress(job->second);
+  }
+  this->jobs.erase(job);
 }
 
 void JobView::ApplyProgress(const KeyedEntry& entry) {
   const auto id = JobIdFromKey(entry.key, kJobPrefix);
-  if (!id.has_value() || entry.value.empty()) {
+  if (!id.has_value()) {
+    return;
+  }
+  // The submission was removed first, but may be read later.
+  if (entry.value.empty()) {
+    this->other_progress.erase(*id);
+    this->with_progress.erase(*id);
     return;
   }
   const auto job = this->jobs.find(*id);
   if (job == this->jobs.end()) {
-    this->early_progress[*id] = entry.value;
+    this->other_progress[*id] = entry.value;
     return;
   }
+  this->with_progress.insert(*id);
   this->ReadProgress(job->second, entry.value);
 }
 
@@ -85,11 +109,39 @@
 }
 
 void JobView::RetainIntake(const std::set<std::string>& keys) {
-  std::erase_if(this->jobs, [&](const auto& entry) {
+  std::vector<JobId> removed;
+  for (const auto& [id, job] : this->jobs) {
+    if (!keys.contains(JobKey(id))) {
+      removed.push_back(id);
+    }
+  }
+  for (const JobId& id : removed) {
+    this->RemoveSubmission(id);
+  }
+  std::erase_if(this->malformed,
+                [&](const JobId& id) { return !keys.contains(JobKey(id)); });
+  std::erase_if(this->cancelled,
+                [&](const JobId& id) { return !keys.contains(CancelKey(id)); });
+}
+
+void JobView::RetainProgress(const std::set<std::string>& keys) {
+  std::erase_if(this->with_progress,
+                [&](const JobId& id) { return !keys.contains(JobKey(id)); });
+  std::erase_if(this->other_progress, [&](const auto& entry) {
     return !keys.contains(JobKey(entry.first));
   });
 }
 
+std::vector<JobId> JobView::RemovedJobs() const {
+  std::vector<JobId> removed;
+  for (const auto& [id, progress] : this->other_progress) {
+    if (!this->malformed.contains(id)) {
+      removed.push_back(id);
+    }
+  }
+  return removed;
+}
+
 const Job* JobView::Find(const JobId& id) const {
   const auto job = this->jobs.find(id);
   return job == this->jobs.end() ? nullptr : &job->second;
--- a/packages/gateway/job_view.h
+++ b/packages/gateway/job_view.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "packages/core/keyed_log.h"
 #include "packages/workload/job.h"
@@ -12,7 +13,13 @@
 namespace carobrill::gateway {
 
 /// Effect of a record of the intake topic.
-enum class IntakeChange { kNone, kAccepted, kCancelled };
+enum class IntakeChange {
+  kNone,
+  kAccepted,
+  /// A submission of a job that has progress has been stored again.
+  kRestored,
+  kCancelled,
+};
 
 /// In-memory view of all jobs in the log: submissions, cancellations and
 /// progress. The intake and progress topics are read independently, so either
@@ -25,8 +32,11 @@
   /// Applies a record of the progress topic.
   void ApplyProgress(const KeyedEntry& entry);
 
-  /// Removes jobs whose key is missing from a snapshot of the intake topic.
+  /// @{
+  /// Removes what is missing from a snapshot of the topic.
   void RetainIntake(const std::set<std::string>& keys);
+  void RetainProgress(const std::set<std::string>& keys);
+  /// @}
 
   /// Returns the job, or null if it is unknown.
   const workload::Job* Find(const JobId& id) const;
@@ -37,13 +47,22 @@
 
   const std::map<JobId, workload::Job>& Jobs() const { return this->jobs; }
 
+  /// Returns the jobs that have progress but no submission. Once both topics
+  /// have been read up to one point in time, their submissions are removed.
+  std::vector<JobId> RemovedJobs() const;
+
  private:
   IntakeChange Accept(const JobId& id, const std::string& value);
   void ReadProgress(workload::Job& job, const std::string& bytes);
+  void RemoveSubmission(const JobId& id);
 
   std::map<JobId, workload::Job> jobs;
-  /// Progress records of jobs whose submission has not been read yet.
-  std::map<JobId, std::string> early_progress;
+  /// Jobs in `jobs` that have a progress record.
+  std::set<JobId> with_progress;
+  /// Progress records of jobs that are not in `jobs`.
+  std::map<JobId, std::string> other_progress;
+  /// Jobs that are not in `jobs` because their submission cannot be decoded.
+  std::set<JobId> malformed;
   std::set<JobId> cancelled;
 };
 
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -16,6 +16,7 @@
 #include "packages/core/task.h"
 #include "packages/gateway/advice_caller.h"
 #include "packages/gateway/commit_pipeline.h"
+#include "packages/gateway/job_removal.h"
 #include "packages/gateway/planner_log.h"
 #include "packages/gateway/planner_records.h"
 #include "packages/gateway/topics.h"
@@ -92,6 +93,7 @@
         on_ended(std::move(on_ended)),
         planner(settings.planner),
         commits(task, log, kProgressTopic, term.claim),
+        removal(task, log),
         advice(task,
                this->ports.advise,
                [this](const workload::AdviceRequest& request,
@@ -126,9 +128,20 @@
     }
   }
   void Submit(workload::Submission submission) {
+    this->removal.OnSubmission(submission.id);
     this->planner.Submit(std::move(submission));
     this->SchedulePass();
   }
+  /// The submission of a job that has progress has been stored again.
+  void Restore(const workload::Job& job) {
+    this->removal.OnSubmission(job.submission.id);
+    if (!this->planner.Jobs().contains(job.submission.id)) {
+      this->Load(job);
+    }
+    this->SchedulePass();
+  }
+  /// Removes stored progress whose submission has been removed.
+  void RemoveProgress(const JobId& id) { this->removal.AddRemoved(id); }
   void Cancel(const JobId& id) {
     this->planner.Cancel(id, this->Time());
     this->SchedulePass();
@@ -262,6 +275,8 @@
       return;
     }
     const Instant now = BootClock{}.Now();
+    this->removal.RemoveSubmissions(
+        this->planner.ExpiredJobs(WallClock{}.Now()));
     const std::uint64_t commit = this->planner.NextCommit();
     std::vector<KeyedEntry> entries;
     for (const JobId& id : this->planner.TakeChanges()) {
@@ -270,9 +285,9 @@
         entries.push_back({JobKey(id), workload::EncodeProgress(job->second)});
       }
     }
-    for (const JobId& id : this->planner.TakeExpired(WallClock{}.Now())) {
+    const std::vector<JobId> removed = this->removal.Removed();
+    for (const JobId& id : removed) {
       entries.push_back({JobKey(id), {}});
-      this->on_expired(id);
     }
     const bool resigning = this->resigned;
     if (resigning) {
@@ -294,7 +309,9 @@
     }
     this->commits.Store(
         std::move(entries),
-        [this, commit, resigning, append = ++this->appends](Instant sent) {
+        [this, commit, removed, resigning,
+         append = ++this->appends](Instant sent) {
+          this->FinishRemoval(removed);
           this->OnStored(commit, sent, resigning);
           this->ConfirmRole(append);
         },
@@ -329,6 +346,14 @@
     this->SendOrders();
   }
 
+  void FinishRemoval(const std::vector<JobId>& jobs) {
+    for (const JobId& id : jobs) {
+      if (this->removal.Finish(id)) {
+        this->planner.Erase(id);
+      }
+    }
+  }
+
   void End(const std::string& reason) {
     if (std::exchange(this->ended, true)) {
       return;
@@ -485,6 +510,7 @@
   std::function<void(std::string)> on_ended;
   workload::JobPlanner planner;
   CommitPipeline<LogStore> commits;
+  JobRemoval<LogStore> removal;
   AdviceCaller advice;
   std::map<InstanceId, std::unique_ptr<WorkerLink>> links;
   std::map<InstanceId, RunEndProgress> run_ends;
@@ -513,11 +539,6 @@
   bool resigned = false;
   InstanceId successor;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-
- public:
-  /// Runs when an expired job is removed from the planner, so that its
-  /// submission can be removed from the log.
-  std::function<void(const JobId&)> on_expired = [](const JobId&) {};
 };
 
 }  // namespace carobrill::gateway
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -390,23 +390,29 @@
   return std::exchange(this->changed_jobs, {});
 }
 
-std::vector<JobId> JobPlanner::TakeExpired(Instant wall) {
+std::vector<JobId> JobPlanner::ExpiredJobs(Instant wall) const {
   std::vector<JobId> expired;
   for (const auto& [id, job] : this->jobs) {
-    if (IsFinal(job.phase) && !job.AnyTaskHoldsResources() &&
-        wall >= job.ended_at.After(this->settings.retention_ms)) {
+    if (IsFinal(job.phase) &&
+        wall >= job.ended_at.After(this->settings.retention_ms) &&
+        !job.AnyTaskHoldsResources() && !this->changed_jobs.contains(id)) {
       expired.push_back(id);
     }
   }
-  for (const JobId& id : expired) {
-    this->runs.Remove(this->jobs.at(id));
-    this->jobs.erase(id);
-    this->changed_jobs.erase(id);
-    this->advice_cache.EraseJob(id);
-  }
   return expired;
 }
 
+void JobPlanner::Erase(const JobId& id) {
+  const auto job = this->jobs.find(id);
+  if (job == this->jobs.end() || !IsFinal(job->second.phase)) {
+    return;
+  }
+  this->runs.Remove(job->second);
+  this->jobs.erase(job);
+  this->changed_jobs.erase(id);
+  this->advice_cache.EraseJob(id);
+}
+
 TaskOrder JobPlanner::OrderOf(const ActiveRun& run) const {
   TaskOrder order;
   order.task = run.key;
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -154,8 +154,12 @@
   /// in one commit.
   std::set<JobId> TakeChanges();
 
-  /// Removes jobs whose retention time has passed, and returns their ids.
-  std::vector<JobId> TakeExpired(Instant wall);
+  /// Returns the jobs whose retention time has passed and whose final state was
+  /// part of an earlier TakeChanges().
+  std::vector<JobId> ExpiredJobs(Instant wall) const;
+
+  /// Removes a final job. Unknown jobs are ignored.
+  void Erase(const JobId& id);
 
   /// Returns the orders for each agent, without runs that were assigned in a
   /// commit after `committed`.
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -290,6 +290,19 @@
   CHECK(next.ActiveTasks().begin()->second.phase == TaskPhase::kRunning);
 }
 
+TEST_CASE("a job does not expire before its end is stored") {
+  // Guards against a job that is removed while only this planner knows its end.
+  PlannerFixture fixture(1);
+  const Submission job = MakeJob("j", MakeStep(1, {1'000, 1'000, 0}));
+  fixture.planner.Submit(job);
+  fixture.planner.Cancel(job.id, fixture.Time());
+  const Instant expired = fixture.now.After(JobPlannerSettings{}.retention_ms);
+  CHECK(fixture.planner.ExpiredJobs(expired).empty());
+  fixture.planner.TakeChanges();
+  CHECK(fixture.planner.ExpiredJobs(expired) == std::vector{job.id});
+  CHECK(fixture.planner.ExpiredJobs(expired.After(-1)).empty());
+}
+
 TEST_CASE("stored progress is decoded unchanged") {
   PlannerFixture fixture(2);
   StepSpec step = MakeStep(2, {1'000, 1'000, 1});
