Do not plan a job whose progress cannot be decoded

Callers: none seen; found by reading. A job of which tasks have run would run again from its start (TWICE) after a new planner has taken over.

Cause: a progress record that cannot be decoded, for example one of a newer version after a rollback, or one of another writer, was logged and then left out. A gateway that had just started took the job for a new one; one that had followed the topic kept older progress. As the planner, either would have run what had run since.

The view now knows the jobs whose newest record it cannot decode, also if their submission is removed and stored again. A new planner leaves them out and logs job_not_planned; agents stop their runs, as those of any job that the planner does not know. Nothing is rewritten, so a planner that can decode the record goes on with the job, and a readable record by the planner in office ends the state.

Remains: ends of such a job's runs are acknowledged while it is left out, so its state is known only as far as its record.

--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -249,7 +249,8 @@
     const workload::Job& job = *this->view.Find(*id);
     if (change == IntakeChange::kAccepted) {
       this->session->Submit(job.submission);
-    } else if (change == IntakeChange::kRestored) {
+    } else if (change == IntakeChange::kRestored &&
+               !this->view.IsProgressUnreadable(*id)) {
       this->session->Restore(job);
     }
     if (cancelled || job.cancel_requested) {
@@ -505,6 +506,12 @@
           }
         });
     for (const auto& [id, job] : this->view.Jobs()) {
+      // Its tasks may have run already.
+      if (this->view.IsProgressUnreadable(id)) {
+        Log(LogLevel::kError, "job_not_planned",
+            {{"job", id.value}, {"reason", "cannot decode its progress"}});
+        continue;
+      }
       this->session->Load(job);
     }
     const std::vector<JobId> removed = this->view.RemovedJobs();
--- a/packages/gateway/job_view.cc
+++ b/packages/gateway/job_view.cc
@@ -75,8 +75,9 @@
     return;
   }
   if (this->with_progress.erase(id) != 0) {
-    this->other_progress[id] = workload::EncodeProgress(job->second);
+    this->other_progress[id] = this->StoredProgress(job->second);
   }
+  this->unreadable_progress.erase(id);
   this->jobs.erase(job);
 }
 
@@ -89,6 +90,7 @@
   if (entry.value.empty()) {
     this->other_progress.erase(*id);
     this->with_progress.erase(*id);
+    this->unreadable_progress.erase(*id);
     return;
   }
   const auto job = this->jobs.find(*id);
@@ -103,11 +105,22 @@
 void JobView::ReadProgress(Job& job, const std::string& bytes) {
   const auto error = ErrorFrom<RecordError>(
       [&] { return workload::DecodeProgress(bytes, job); });
+  const JobId& id = job.submission.id;
   if (error.has_value()) {
     Log(LogLevel::kError, "cannot decode job progress", {{"job", error->key}});
+    this->unreadable_progress[id] = bytes;
+  } else {
+    this->unreadable_progress.erase(id);
   }
 }
 
+std::string JobView::StoredProgress(const Job& job) const {
+  const auto unreadable = this->unreadable_progress.find(job.submission.id);
+  return unreadable != this->unreadable_progress.end()
+             ? unreadable->second
+             : workload::EncodeProgress(job);
+}
+
 void JobView::RetainIntake(const std::set<std::string>& keys) {
   std::vector<JobId> removed;
   for (const auto& [id, job] : this->jobs) {
@@ -127,9 +140,11 @@
 void JobView::RetainProgress(const std::set<std::string>& keys) {
   std::erase_if(this->with_progress,
                 [&](const JobId& id) { return !keys.contains(JobKey(id)); });
-  std::erase_if(this->other_progress, [&](const auto& entry) {
+  const auto removed = [&](const auto& entry) {
     return !keys.contains(JobKey(entry.first));
-  });
+  };
+  std::erase_if(this->unreadable_progress, removed);
+  std::erase_if(this->other_progress, removed);
 }
 
 std::vector<JobId> JobView::RemovedJobs() const {
--- a/packages/gateway/job_view.h
+++ b/packages/gateway/job_view.h
@@ -47,6 +47,12 @@
 
   const std::map<JobId, workload::Job>& Jobs() const { return this->jobs; }
 
+  /// True if the newest progress of the job cannot be decoded. The job may have
+  /// run further than its state in this view.
+  bool IsProgressUnreadable(const JobId& id) const {
+    return this->unreadable_progress.contains(id);
+  }
+
   /// Returns the jobs that have progress but no submission. Once both topics
   /// have been read up to one point in time, their submissions are removed.
   std::vector<JobId> RemovedJobs() const;
@@ -54,11 +60,14 @@
  private:
   IntakeChange Accept(const JobId& id, const std::string& value);
   void ReadProgress(workload::Job& job, const std::string& bytes);
+  std::string StoredProgress(const workload::Job& job) const;
   void RemoveSubmission(const JobId& id);
 
   std::map<JobId, workload::Job> jobs;
   /// Jobs in `jobs` that have a progress record.
   std::set<JobId> with_progress;
+  /// The newest progress records that cannot be decoded, of jobs in `jobs`.
+  std::map<JobId, std::string> unreadable_progress;
   /// Progress records of jobs that are not in `jobs`.
   std::map<JobId, std::string> other_progress;
   /// Jobs that are not in `jobs` because their submission cannot be decoded.
--- a/tests/gateway/job_removal_test.cc
+++ b/tests/gateway/job_removal_test.cc
@@ -368,6 +368,58 @@
   fixture.task.Run([&] { CHECK(fixture.Has(kProgressTopic, kJobId)); });
 }
 
+TEST_CASE("a job whose progress cannot be read is not run from its start") {
+  // Guards against progress of a newer version that is taken for none.
+  RemovalFixture fixture;
+  fixture.StoreSubmission(kJobId);
+  fixture.task.Run([&] {
+    fixture.memory.Append({kProgressTopic,
+                           {{JobKey(JobId(kJobId)), "\xff"}},
+                           {},
+                           {},
+                           Instant::Never()},
+                          [](const KeyedAppendReply&) {});
+  });
+  fixture.StartPlanner();
+  for (int i = 0; i < 10; ++i) {
+    fixture.task.Run([&] { CHECK_FALSE(fixture.MayRun(kJobId)); });
+    g_usleep(20'000);
+  }
+  SUBCASE("its submission is stored again") {
+    fixture.StoreSubmission(kJobId);
+    g_usleep(100'000);
+    fixture.task.Run([&] { CHECK_FALSE(fixture.MayRun(kJobId)); });
+  }
+  SUBCASE("its progress can be read later") {
+    fixture.StopGateway();
+    fixture.StoreEnd(kJobId);
+    fixture.StartPlanner();
+    CHECK(fixture.WaitFor([&] { return !fixture.HasAny(kJobId); }));
+  }
+}
+
+TEST_CASE("a view tells that the newest progress of a job cannot be read") {
+  // Guards against a planner that goes on from older progress.
+  JobView view;
+  const JobId id(kJobId);
+  workload::Job running = workload::Job::Of(SubmissionOf(kJobId));
+  running.phase = workload::JobPhase::kRunning;
+  const KeyedEntry submission{JobKey(id),
+                              workload::EncodeSubmission(SubmissionOf(kJobId))};
+  const KeyedEntry readable{JobKey(id), workload::EncodeProgress(running)};
+  const KeyedEntry unreadable{JobKey(id), "\xff"};
+  view.ApplyIntake(submission);
+  view.ApplyProgress(readable);
+  CHECK_FALSE(view.IsProgressUnreadable(id));
+  view.ApplyProgress(unreadable);
+  CHECK(view.IsProgressUnreadable(id));
+  view.ApplyIntake({JobKey(id), {}});
+  CHECK(view.ApplyIntake(submission) == IntakeChange::kRestored);
+  CHECK(view.IsProgressUnreadable(id));
+  view.ApplyProgress(readable);
+  CHECK_FALSE(view.IsProgressUnreadable(id));
+}
+
 TEST_CASE("a view keeps nothing of a job that is removed") {
   // Guards against memory that grows with each job, in either order of reading.
   JobView view;
