--- a/packages/gateway/topic_follower.h
+++ b/packages/gateway/topic_follower.h
@@ -144,8 +144,10 @@
   void OnPage(const KeyedSnapshotReply& reply,
               Instant sent,
               const std::string& after_key) {
-    if (reply.failure != KeyedLogFailure::kNone) {
-      this->RecordFailure(reply.failure);
+    // Without a record there is no key to continue after.
+    const bool cut = reply.more && reply.records.empty();
+    if (reply.failure != KeyedLogFailure::kNone || cut) {
+      this->RecordFailure(cut ? KeyedLogFailure::kMalformed : reply.failure);
       this->RetryLater([this, after_key] { this->ReadPage(after_key); });
       return;
     }
@@ -157,7 +159,7 @@
       this->keys.insert(record.entry.key);
       this->callbacks.on_record(record);
     }
-    if (reply.more && !reply.records.empty()) {
+    if (reply.more) {
       this->ReadPage(reply.records.back().entry.key);
       return;
     }
