Reject exchanges that are meant for another agent

What callers see: when an agent gets an address that belonged to another one, tasks of the earlier one's worker run twice, and work of the present one is ordered by two links in turn.

Cause: nothing in an exchange said for which agent it was meant. The link of agent X reached agent Y at X's earlier address, and the planner took Y's worker for another incarnation of X's worker. It gave up the runs of X at once, without waiting for the lease, while X's worker still had them. Y applied the orders of both links according to the higher sequence number.

The request names the agent, and another agent rejects it. The link then counts X as unreachable, so that its runs end with their leases. The field is optional: an empty one is accepted, and older agents ignore it.

Evidence: without the change "an agent does not answer for one that had its address before" fails: the planner gets a report of agent b with the worker of agent a.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -139,6 +139,7 @@
 void WorkerLink::Send(std::int64_t wait_ms) {
   const Instant now = BootClock{}.Now();
   rpc::ExchangeRequest request;
+  request.set_agent(this->agent.value);
   request.set_epoch(this->epoch);
   request.set_sequence(++this->sequence);
   request.set_wait_ms(wait_ms);
@@ -186,7 +187,7 @@
         {{"dependency", "agent"},
          {"agent", this->agent.value},
          {"reason", std::string(NameOf(reply.failure))},
-         {"detail", reply.detail},
+         {"detail", reply.Ok() ? "exchange rejected" : reply.detail},
          {"lease_left_ms", std::to_string(this->lease_expires_at.RemainingMs(
                                BootClock{}.Now()))}});
   }
--- a/packages/worker_agent/report_channel.cc
+++ b/packages/worker_agent/report_channel.cc
@@ -7,21 +7,31 @@
 
 namespace carobrill::worker_agent {
 
-ReportChannel::ReportChannel(Task& task, ReportChannelCallbacks callbacks)
-    : task(task), callbacks(std::move(callbacks)) {}
+ReportChannel::ReportChannel(Task& task,
+                             InstanceId agent,
+                             ReportChannelCallbacks callbacks)
+    : task(task), agent(std::move(agent)), callbacks(std::move(callbacks)) {}
 
 ReportChannel::~ReportChannel() {
   *this->alive = false;
 }
 
-void ReportChannel::OnExchange(const rpc::ExchangeRequest& request,
+bool ReportChannel::OnExchange(const rpc::ExchangeRequest& request,
                                rpc::Responder<rpc::ExchangeReply> respond) {
+  // The address may have belonged to another agent before.
+  if (!request.agent().empty() && request.agent() != this->agent.value) {
+    if (std::exchange(this->rejected_agent, request.agent()) !=
+        request.agent()) {
+      Log(LogLevel::kWarning, "rejecting exchanges for another agent",
+          {{"agent", request.agent()},
+           {"epoch", std::to_string(request.epoch())}});
+    }
+    respond(this->Rejection());
+    return false;
+  }
   if (request.epoch() < this->epoch) {
-    rpc::ExchangeReply reply;
-    reply.set_accepted(false);
-    reply.set_highest_epoch(this->epoch);
-    respond(std::move(reply));
-    return;
+    respond(this->Rejection());
+    return true;
   }
   if (request.epoch() > this->epoch) {
     Log(LogLevel::kInfo, "following a new planner",
@@ -37,7 +47,7 @@
   this->AnswerPending();
   if (request.wait_ms() <= 0 || request.seen_report() < this->report) {
     respond(this->Reply());
-    return;
+    return true;
   }
   this->pending_response = std::move(respond);
   this->task.PostAt(
@@ -47,6 +57,7 @@
           this->AnswerPending();
         }
       });
+  return true;
 }
 
 void ReportChannel::Report() {
@@ -54,6 +65,13 @@
   this->AnswerPending();
 }
 
+rpc::ExchangeReply ReportChannel::Rejection() const {
+  rpc::ExchangeReply reply;
+  reply.set_accepted(false);
+  reply.set_highest_epoch(this->epoch);
+  return reply;
+}
+
 rpc::ExchangeReply ReportChannel::Reply() const {
   rpc::ExchangeReply reply = this->callbacks.reply();
   reply.set_accepted(true);
--- a/packages/worker_agent/report_channel.h
+++ b/packages/worker_agent/report_channel.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
+#include "packages/core/ids.h"
 #include "packages/core/task.h"
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/worker_control.pb.h"
@@ -27,25 +29,31 @@
 /// its wait is over.
 class ReportChannel {
  public:
-  ReportChannel(Task& task, ReportChannelCallbacks callbacks);
+  /// `agent` is the instance that the channel belongs to.
+  ReportChannel(Task& task, InstanceId agent, ReportChannelCallbacks callbacks);
   ~ReportChannel();
 
   ReportChannel(const ReportChannel&) = delete;
   ReportChannel& operator=(const ReportChannel&) = delete;
 
-  /// Handles one exchange with a planner.
-  void OnExchange(const rpc::ExchangeRequest& request,
+  /// Handles one exchange with a planner. Returns whether it is meant for this
+  /// agent; others are rejected.
+  bool OnExchange(const rpc::ExchangeRequest& request,
                   rpc::Responder<rpc::ExchangeReply> respond);
 
   /// The agent's state has changed in a way that the planner must know of.
   void Report();
 
  private:
+  rpc::ExchangeReply Rejection() const;
   rpc::ExchangeReply Reply() const;
   void AnswerPending();
 
   Task& task;
+  InstanceId agent;
   ReportChannelCallbacks callbacks;
+  /// Agent that the last rejected exchange was meant for, for the log.
+  std::string rejected_agent;
   std::uint64_t epoch = 0;
   std::uint64_t last_exchange = 0;
   std::uint64_t report = 1;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -45,14 +45,14 @@
       : task(task),
         port(port),
         incarnation(incarnation),
-        settings(settings),
-        reports(task, this->ReportCallbacks()),
-        orders(port, metrics, settings.answer_timeout_ms),
-        runs(settings.runs),
-        pace(settings.pace),
+        settings(std::move(settings)),
+        reports(task, this->settings.instance, this->ReportCallbacks()),
+        orders(port, metrics, this->settings.answer_timeout_ms),
+        runs(this->settings.runs),
+        pace(this->settings.pace),
         fence(static_cast<std::uint64_t>(WallClock{}.Now().ms)),
-        probe(task, port, settings.probe, this->ProbeCallbacks()),
-        heartbeat_order(settings.max_late_heartbeats_ms),
+        probe(task, port, this->settings.probe, this->ProbeCallbacks()),
+        heartbeat_order(this->settings.max_late_heartbeats_ms),
         lease_timer(task, [this] { this->SendLeaseCall(); }) {}
 
   ~WorkerAgent() { *this->alive = false; }
@@ -107,10 +107,10 @@
     });
   }
 
-  /// Handles one exchange with a planner.
-  void OnExchange(const rpc::ExchangeRequest& request,
+  /// As ReportChannel::OnExchange().
+  bool OnExchange(const rpc::ExchangeRequest& request,
                   rpc::Responder<rpc::ExchangeReply> respond) {
-    this->reports.OnExchange(request, std::move(respond));
+    return this->reports.OnExchange(request, std::move(respond));
   }
 
  private:
--- a/packages/worker_agent/worker_agent_settings.h
+++ b/packages/worker_agent/worker_agent_settings.h
@@ -3,14 +3,17 @@
 
 #include <cstdint>
 
+#include "packages/core/ids.h"
 #include "packages/worker_agent/pace_controller.h"
 #include "packages/worker_agent/run_table.h"
 #include "packages/worker_agent/worker_probe.h"
 
 namespace carobrill::worker_agent {
 
-/// Timing of an agent, in ms.
+/// Settings of an agent; times in ms.
 struct WorkerAgentSettings {
+  /// Instance that the agent is registered as.
+  InstanceId instance;
   /// How long a request for the worker's lists waits for a run to end.
   std::int64_t list_wait_ms = 500;
   /// Delay before the lists are requested again while listed run ends have not
--- a/tests/adapter/planner_takeover_test.cc
+++ b/tests/adapter/planner_takeover_test.cc
@@ -75,9 +75,10 @@
  public:
   TakeoverFixture() : task("test"), worker(this->task) {
     this->task.Run([this] {
+      worker_agent::WorkerAgentSettings settings;
+      settings.instance = InstanceId("a");
       this->agent = std::make_unique<worker_agent::WorkerAgent<ScriptedWorker>>(
-          this->task, this->worker, 1, worker_agent::WorkerAgentSettings{},
-          this->metrics);
+          this->task, this->worker, 1, settings, this->metrics);
       this->agent->Start();
       worker_agent::WorkerHeartbeat heartbeat;
       heartbeat.description.incarnation = {InstanceId("a"), WorkerId("w"),
@@ -208,5 +209,23 @@
   CHECK(fixture.worker.renewals == 1);
 }
 
+TEST_CASE("an agent does not answer for one that had its address before") {
+  // Guards against a planner that takes the worker of one agent for a new
+  // incarnation of the worker of another, and gives up the runs of that one.
+  TakeoverFixture fixture;
+  fixture.Order();
+  REQUIRE(fixture.worker.starts == 1);
+  fixture.worker.running.push_back({fixture.key, 1, 10, {}, 0});
+  auto other = fixture.MakeLink("b", 1);
+  constexpr gulong kLongerThanGraceUs = 1'500'000;
+  g_usleep(kLongerThanGraceUs);
+  fixture.task.Run([&] { other->SetOrders({}, 0); });
+  g_usleep(kLongerThanGraceUs);
+  CHECK(fixture.unreachable == std::set<std::string>{"b"});
+  CHECK(!fixture.reports.contains("b"));
+  CHECK(fixture.worker.stops == 0);
+  fixture.task.Run([&] { other.reset(); });
+}
+
 }  // namespace
 }  // namespace carobrill
