Keep the runs of a worker that is silent after its shutdown notice

What callers see: a task is started elsewhere while its worker, which has announced its shutdown, still executes it.

A worker that is slow, paused or cut off for half a second works on until its lease expires.

A shutdown is now found to be complete by a refused connection, another incarnation, or another start time. As long as the worker is silent, the agent names no worker to the planner, as an agent does that has just started. The planner then grants no leases, and takes the runs as lost when the last one has expired. A worker that answers again is named again. A worker that exits refuses connections, so its runs end as quickly as before.

Evidence: on "a worker that is silent after its shutdown notice may be at work" fails: the run is reported as ended right after the notice.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -88,21 +88,22 @@
   }
 
   /// Handles a notice of the worker's planned shutdown. The runs end as soon as
-  /// the worker does not answer any more: the notice may be late, from an
-  /// earlier process under the same id, or from another sender.
+  /// the worker is found to be gone: the notice may be late, from an earlier
+  /// process under the same id, or from another sender.
   void OnWorkerShutdown(const WorkerId& worker) {
     if (worker != this->description.incarnation.id || this->exited ||
         this->leaving) {
       return;
     }
     this->leaving = true;
+    this->silent = false;
     this->description.availability = workload::WorkerAvailability::kAbsent;
     this->runs.SetDraining(true);
     this->reports.Report();
     const auto life = this->PresentProcess();
-    this->probe.VerifyShutdown(life, [this, life](bool at_work) {
-      if (life == this->PresentProcess() && !this->exited) {
-        this->OnShutdownVerified(at_work);
+    this->probe.VerifyShutdown(life, [this, life](ShutdownAnswer answer) {
+      if (life == this->PresentProcess() && this->leaving) {
+        this->OnShutdownAnswer(answer);
       }
     });
   }
@@ -196,15 +197,24 @@
     this->ApplyLists(lists, sent);
   }
 
-  void OnShutdownVerified(bool at_work) {
-    if (!at_work) {
-      this->EndIncarnation("left", WorkerExit::kShutdown);
-      return;
+  void OnShutdownAnswer(ShutdownAnswer answer) {
+    switch (answer) {
+      case ShutdownAnswer::kSilent:
+        if (!std::exchange(this->silent, true)) {
+          LogShutdownUnanswered(this->description.incarnation);
+          this->reports.Report();
+        }
+        return;
+      case ShutdownAnswer::kEnded:
+        this->EndIncarnation("left", WorkerExit::kShutdown);
+        return;
+      case ShutdownAnswer::kAtWork:
+        LogShutdownRefuted(this->description.incarnation);
+        // The next heartbeat tells whether the worker accepts tasks.
+        this->leaving = false;
+        this->reports.Report();
+        return;
     }
-    Log(LogLevel::kWarning, "shutdown_refuted",
-        {{"worker", this->description.incarnation.id.value}});
-    // The next heartbeat tells whether the worker accepts tasks.
-    this->leaving = false;
   }
 
   /// A worker that is draining may end at any time.
@@ -251,12 +261,17 @@
     rpc::ExchangeReply reply;
     reply.set_agent_clock_ms(BootClock{}.Now().ms);
     reply.set_agent_incarnation(this->incarnation);
-    EncodeDescription(this->description, this->last_crashed, reply);
+    // The planner grants no leases to an agent that names no worker, and takes
+    // its runs as lost when the last lease has expired.
+    const bool unknown = this->leaving && this->silent;
+    EncodeDescription(
+        unknown ? workload::WorkerDescription() : this->description,
+        this->last_crashed, reply);
     reply.set_availability(static_cast<std::uint32_t>(
         this->lists_read ? this->description.availability
                          : workload::WorkerAvailability::kAbsent));
     reply.set_running_age_ms(BootClock{}.Now().ms - this->lists_read_at.ms);
-    if (!this->restarted_born_ms.has_value()) {
+    if (!this->restarted_born_ms.has_value() && !unknown) {
       EncodeRuns(this->runs, reply);
     }
     return reply;
@@ -548,6 +563,8 @@
   bool exited = false;
   /// The worker's shutdown was announced, and it has not been found to be gone.
   bool leaving = false;
+  /// The worker has left a question unanswered since then.
+  bool silent = false;
   std::uint32_t refusals = 0;
   /// Start time of the worker's new process, while the runs ordered from the
   /// earlier one are being stopped there.
--- a/packages/worker_agent/worker_log.cc
+++ b/packages/worker_agent/worker_log.cc
@@ -34,6 +34,14 @@
        {"born_ms", std::to_string(born_ms)}});
 }
 
+void LogShutdownUnanswered(const workload::WorkerIncarnation& life) {
+  Log(LogLevel::kWarning, "shutdown_unanswered", {{"worker", life.id.value}});
+}
+
+void LogShutdownRefuted(const workload::WorkerIncarnation& life) {
+  Log(LogLevel::kWarning, "shutdown_refuted", {{"worker", life.id.value}});
+}
+
 void LogStartWithdrawn(const RunKey& run) {
   Log(LogLevel::kInfo, "start_withdrawn",
       {{"job", run.first.job.value},
--- a/packages/worker_agent/worker_log.h
+++ b/packages/worker_agent/worker_log.h
@@ -21,6 +21,12 @@
 void LogWorkerRestarted(const workload::WorkerIncarnation& life,
                         std::int64_t born_ms);
 
+/// The worker does not answer after it has announced its shutdown.
+void LogShutdownUnanswered(const workload::WorkerIncarnation& life);
+
+/// The worker is at work, although it has announced its shutdown.
+void LogShutdownRefuted(const workload::WorkerIncarnation& life);
+
 void LogStartWithdrawn(const RunKey& run);
 
 }  // namespace carobrill::worker_agent
--- a/packages/worker_agent/worker_probe.h
+++ b/packages/worker_agent/worker_probe.h
@@ -44,6 +44,15 @@
       on_verified;
 };
 
+/// What a worker that has announced its shutdown answers.
+enum class ShutdownAnswer {
+  /// Nothing. It may still be at work.
+  kSilent,
+  kAtWork,
+  /// Its process has ended.
+  kEnded,
+};
+
 /// Asks the worker itself before a message about it is believed, since anyone
 /// may send heartbeats and shutdown notices. Each question is a request for the
 /// worker's lists: it is addressed to an id, and the answer contains the start
@@ -89,13 +98,14 @@
     this->AskForCandidate(life, std::move(done));
   }
 
-  /// Calls `done` with false as soon as the incarnation does not answer, or
-  /// with true if it still answers after the timeout.
+  /// Asks until the incarnation has ended, or still answers after the timeout,
+  /// and calls `on_answer` with that. Calls it with kSilent whenever there is
+  /// no answer.
   void VerifyShutdown(const workload::WorkerIncarnation& life,
-                      std::function<void(bool)> done) {
+                      std::function<void(ShutdownAnswer)> on_answer) {
     this->AskForShutdown(
         life, BootClock{}.Now().After(this->settings.shutdown_timeout_ms),
-        std::move(done));
+        std::move(on_answer));
   }
 
  private:
@@ -185,23 +195,43 @@
 
   void AskForShutdown(const workload::WorkerIncarnation& life,
                       Instant deadline,
-                      std::function<void(bool)> done) {
-    this->Ask(life, [this, life, deadline, done = std::move(done)](
+                      std::function<void(ShutdownAnswer)> on_answer) {
+    this->Ask(life, [this, life, deadline, on_answer = std::move(on_answer)](
                         const LeaseReply& reply, Instant) {
-      const bool at_work =
-          reply.result == OrderResult::kFenced ||
-          (reply.result == OrderResult::kDone &&
-           (reply.born_ms == 0 || reply.born_ms == life.born_ms));
-      if (!at_work || BootClock{}.Now() >= deadline) {
-        done(at_work);
+      const ShutdownAnswer answer = ShutdownAnswerOf(life, reply);
+      const bool timed_out = BootClock{}.Now() >= deadline;
+      if (answer == ShutdownAnswer::kEnded ||
+          (answer == ShutdownAnswer::kAtWork && timed_out)) {
+        on_answer(answer);
         return;
       }
-      this->RetryLater([this, life, deadline, done] {
-        this->AskForShutdown(life, deadline, done);
+      if (answer == ShutdownAnswer::kSilent) {
+        on_answer(answer);
+      }
+      this->RetryLater([this, life, deadline, on_answer] {
+        this->AskForShutdown(life, deadline, on_answer);
       });
     });
   }
 
+  static ShutdownAnswer ShutdownAnswerOf(
+      const workload::WorkerIncarnation& life,
+      const LeaseReply& reply) {
+    switch (reply.result) {
+      case OrderResult::kFenced:
+        return ShutdownAnswer::kAtWork;
+      case OrderResult::kDone:
+        return reply.born_ms == 0 || reply.born_ms == life.born_ms
+                   ? ShutdownAnswer::kAtWork
+                   : ShutdownAnswer::kEnded;
+      case OrderResult::kOtherIncarnation:
+      case OrderResult::kUnreachable:
+        return ShutdownAnswer::kEnded;
+      default:
+        return ShutdownAnswer::kSilent;
+    }
+  }
+
   Task& task;
   Port& port;
   WorkerProbeSettings settings;
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -75,6 +75,11 @@
     // Short waits of the agent, so that its calls do not follow without pause.
     g_usleep(1'000);
     LeaseReply reply;
+    if (this->silent) {
+      reply.result = OrderResult::kNoAnswer;
+      done(reply);
+      return;
+    }
     if (this->refusing || request.worker != WorkerId("w")) {
       reply.result = this->refusing ? OrderResult::kUnreachable
                                     : OrderResult::kOtherIncarnation;
@@ -98,6 +103,7 @@
 
   std::atomic<std::int64_t> born_ms = 0;
   std::atomic<bool> refusing = false;
+  std::atomic<bool> silent = false;
   std::vector<ListedRun> running;
   std::vector<ListedRunEnd> ended;
   int stops = 0;
@@ -366,6 +372,40 @@
   CHECK(fixture.port.stops == 0);
 }
 
+TEST_CASE("a worker that is silent after its shutdown notice may be at work") {
+  // Guards against tasks that run twice because a worker was slow to answer.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.silent = true;
+  fixture.task.Run([&] { fixture.agent->OnWorkerShutdown(WorkerId("w")); });
+  const auto during = fixture.Exchange();
+  CHECK(during.ended_size() == 0);
+  // The planner ends its runs when the last lease has expired.
+  CHECK(during.worker().id().empty());
+  SUBCASE("it answers again") {
+    fixture.port.silent = false;
+    g_usleep(1'500'000);
+    fixture.Heartbeat(10, WorkerAvailability::kReady);
+    const auto after = fixture.Exchange();
+    CHECK(after.worker().id() == "w");
+    CHECK(after.running_size() == 1);
+    CHECK(after.ended_size() == 0);
+    CHECK(fixture.port.stops == 0);
+  }
+  SUBCASE("it refuses connections") {
+    fixture.port.refusing = true;
+    fixture.port.silent = false;
+    g_usleep(300'000);
+    const auto after = fixture.Exchange();
+    CHECK(after.worker().id() == "w");
+    REQUIRE(after.ended_size() == 1);
+    CHECK(static_cast<workload::RunEnd>(after.ended(0).end()) ==
+          workload::RunEnd::kWorkerLost);
+  }
+}
+
 TEST_CASE("a worker that is gone after its shutdown notice ends its runs") {
   AgentFixture<SimulatedWorker> fixture;
   fixture.port.born_ms = 10;
