Count only consecutive refused connections as a worker's exit

What callers see: tasks are started elsewhere although their worker is alive.

Cause: max_refused_connections is the number of consecutive refused connections, but only an answer reset the count. Two single refusals with unanswered calls in between ended the incarnation and its runs.

Evidence: "a worker that accepts connections in between has not exited" fails if the count isn't reset.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -442,9 +442,8 @@
   }
 
   void OnLeaseFailure(OrderResult result) {
-    if (result == OrderResult::kUnreachable) {
-      ++this->refusals;
-    }
+    this->refusals =
+        result == OrderResult::kUnreachable ? this->refusals + 1 : 0;
     if (result == OrderResult::kFenced ||
         result == OrderResult::kOtherIncarnation) {
       this->OnOrderResult(result);
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -71,12 +71,15 @@
   }
   void RenewLeases(const LeaseRequest& request,
                    Instant,
-                   const std::function<void(LeaseReply)>& done) const {
+                   const std::function<void(LeaseReply)>& done) {
+    ++this->calls;
     // Short waits of the agent, so that its calls do not follow without pause.
     g_usleep(1'000);
     LeaseReply reply;
-    if (this->silent) {
-      reply.result = OrderResult::kNoAnswer;
+    if (this->silent || this->unstable) {
+      reply.result = this->unstable && this->calls % 2 == 0
+                         ? OrderResult::kUnreachable
+                         : OrderResult::kNoAnswer;
       done(reply);
       return;
     }
@@ -102,8 +105,12 @@
   }
 
   std::atomic<std::int64_t> born_ms = 0;
+  /// Number of requests for the lists.
+  std::atomic<int> calls = 0;
   std::atomic<bool> refusing = false;
   std::atomic<bool> silent = false;
+  /// Every other request is refused, and the rest are not answered.
+  std::atomic<bool> unstable = false;
   std::vector<ListedRun> running;
   std::vector<ListedRunEnd> ended;
   int stops = 0;
@@ -406,6 +413,17 @@
   }
 }
 
+TEST_CASE("a worker that accepts connections in between has not exited") {
+  // Guards against tasks that run twice because single connections are refused.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.unstable = true;
+  g_usleep(1'500'000);
+  CHECK(fixture.Exchange().ended_size() == 0);
+}
+
 TEST_CASE("a worker that is gone after its shutdown notice ends its runs") {
   AgentFixture<SimulatedWorker> fixture;
   fixture.port.born_ms = 10;
