Count no network error as a worker's exit

What callers see: tasks are started elsewhere although their worker is alive.

Cause: an unreachable host or network counted as a refused connection, as both mean that a request was not sent. Two of them in a row ended the incarnation and its runs. Only a refused connection shows that nothing listens on a host that is up; the others count as no answer.

--- a/packages/http/http_client.cc
+++ b/packages/http/http_client.cc
@@ -71,6 +71,8 @@
   if (bytes == nullptr) {
     reply.failure = FailureFromError(*pending, error);
     reply.maybe_sent = MaybeSent(error);
+    reply.refused = g_error_matches(error, G_IO_ERROR,
+                                    G_IO_ERROR_CONNECTION_REFUSED) != FALSE;
     g_clear_error(&error);
   } else {
     gsize size = 0;
--- a/packages/http/http_types.h
+++ b/packages/http/http_types.h
@@ -70,6 +70,8 @@
   /// False when no connection was established, so that the request was
   /// certainly not sent.
   bool maybe_sent = true;
+  /// The connection was refused: nothing listens at the server's address.
+  bool refused = false;
 
   /// True for a complete response with a 2xx status.
   bool Ok() const {
