Let agents follow a link that replaces another one

What callers see: after an agent's address was removed and registered again, or changed and changed back, tasks on its worker lapse and new ones don't start.

Cause: the sequence numbers of a new link began at 1, but an agent ignores numbers that are not higher than the last one of the epoch. It answered the exchanges of the new link without applying their orders and grants, for as many exchanges as the earlier link had sent. The planner counted it as connected.

The numbers of a link now begin at the time of its creation in ms. A link sends far less than one exchange a millisecond.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -53,7 +53,8 @@
       epoch(epoch),
       settings(settings),
       exchange(std::move(exchange)),
-      callbacks(std::move(callbacks)) {
+      callbacks(std::move(callbacks)),
+      sequence(static_cast<std::uint64_t>(BootClock{}.Now().ms)) {
   this->Send(0);
 }
 
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -116,7 +116,9 @@
   /// The orders for the present worker have been set.
   bool orders_known = false;
   std::uint64_t acknowledged_end = 0;
-  std::uint64_t sequence = 0;
+  /// Begins at the time of creation, in ms, so that the agent follows a link
+  /// that replaces another one of the same planner.
+  std::uint64_t sequence;
   bool connected = false;
   bool has_failed = false;
   /// The agent has answered this planner.
--- a/tests/adapter/planner_takeover_test.cc
+++ b/tests/adapter/planner_takeover_test.cc
@@ -209,6 +209,22 @@
   CHECK(fixture.worker.renewals == 1);
 }
 
+TEST_CASE("an agent follows a link that replaces another one") {
+  // Guards against orders and leases that an agent takes for outdated after its
+  // address was removed and registered again.
+  TakeoverFixture fixture;
+  constexpr int kExchanges = 20;
+  for (int i = 0; i < kExchanges; ++i) {
+    fixture.task.Run([&] {
+      fixture.link->SetAcknowledgedEnd(static_cast<std::uint64_t>(i) + 1);
+    });
+  }
+  fixture.Settle();
+  fixture.Connect(1);
+  fixture.Order();
+  CHECK(fixture.worker.starts == 1);
+}
+
 TEST_CASE("an agent does not answer for one that had its address before") {
   // Guards against a planner that takes the worker of one agent for a new
   // incarnation of the worker of another, and gives up the runs of that one.
