Count the retention of ended jobs on the boot clock

Callers: none seen; found by reading. After the wall clock of the planner's machine was set forward by more than the retention time of 130 s, all ended jobs were removed at once. A submission that arrives again, or takes effect, seconds after its first answer then was a new job and ran once more (TWICE); states were answered with 410 too early. A clock set back kept jobs for as long as the step.

Cause: the end of a job and the time of its removal were both read from the wall clock, of two machines if the planner changed.

A planner now counts the retention of the jobs that end in its term on its boot clock, which no one sets. Only for a job that it loads does it need the stored end, a wall-clock time; it keeps such a job for 20 s to 130 s, whatever the clocks say. 20 s cover the 15 s for which an unanswered append may take effect.

Tests that load jobs pass both clocks; their checks are as before. Those of the removal set the 20 s to 0, since their jobs ended long ago.

--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -122,7 +122,7 @@
   void Load(workload::Job job) {
     const bool cancel = job.cancel_requested && !workload::IsFinal(job.phase);
     const JobId id = job.submission.id;
-    this->planner.Load(std::move(job), BootClock{}.Now());
+    this->planner.Load(std::move(job), this->Time());
     if (cancel) {
       this->Cancel(id);
     }
@@ -275,8 +275,7 @@
       return;
     }
     const Instant now = BootClock{}.Now();
-    this->removal.RemoveSubmissions(
-        this->planner.ExpiredJobs(WallClock{}.Now()));
+    this->removal.RemoveSubmissions(this->planner.ExpiredJobs(now));
     const std::uint64_t commit = this->planner.NextCommit();
     std::vector<KeyedEntry> entries;
     for (const JobId& id : this->planner.TakeChanges()) {
--- a/packages/workload/bench/planner_cost.h
+++ b/packages/workload/bench/planner_cost.h
@@ -213,7 +213,7 @@
     this->AddWorkers(successor);
     this->result.load_ms = MillisOf([&] {
       for (const auto& [id, job] : this->planner.Jobs()) {
-        successor.Load(job, this->now);
+        successor.Load(job, {this->now, this->now});
       }
       successor.Plan(this->Time());
     });
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -173,6 +173,8 @@
   std::vector<Occurrence> occurrences;
   /// Wall-clock time (Unix ms) at which the phase became terminal.
   Instant ended_at;
+  /// Boot clock: the same, kept in memory by the planning process only.
+  Instant final_since;
 
   /// Creates a job whose tasks are all waiting for their first run.
   static Job Of(Submission submission);
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -38,8 +38,13 @@
 JobPlanner::JobPlanner(JobPlannerSettings settings) : settings(settings) {}
 
 // The times of the assignment and of the last progress are not stored, so both
-// restart at `now`.
-void JobPlanner::Load(Job job, Instant now) {
+// restart now. The wall clock may have been set since the job ended.
+void JobPlanner::Load(Job job, const TransitionTime& time) {
+  const Instant now = time.now;
+  const std::int64_t longest_ms = std::max<std::int64_t>(
+      0, this->settings.retention_ms - this->settings.min_loaded_retention_ms);
+  job.final_since = now.After(
+      -std::clamp<std::int64_t>(time.wall.ms - job.ended_at.ms, 0, longest_ms));
   const JobId id = job.submission.id;
   const auto known = this->jobs.find(id);
   if (known != this->jobs.end()) {
@@ -390,11 +395,11 @@
   return std::exchange(this->changed_jobs, {});
 }
 
-std::vector<JobId> JobPlanner::ExpiredJobs(Instant wall) const {
+std::vector<JobId> JobPlanner::ExpiredJobs(Instant now) const {
   std::vector<JobId> expired;
   for (const auto& [id, job] : this->jobs) {
     if (IsFinal(job.phase) &&
-        wall >= job.ended_at.After(this->settings.retention_ms) &&
+        now >= job.final_since.After(this->settings.retention_ms) &&
         !job.AnyTaskHoldsResources() && !this->changed_jobs.contains(id)) {
       expired.push_back(id);
     }
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -56,6 +56,10 @@
   std::uint32_t max_preemption_searches = 8;
   /// How long a job is kept after its end.
   std::int64_t retention_ms = 130'000;
+  /// How long an ended job is kept at least after it has been loaded, whatever
+  /// its end and the wall clock say. A submission may be repeated, or take
+  /// effect, many seconds after its answer.
+  std::int64_t min_loaded_retention_ms = 20'000;
 };
 
 /// Order to an agent to start, keep running or stop a task on its worker.
@@ -94,7 +98,7 @@
 
   /// @{
   /// Applies stored jobs, submissions and cancellations.
-  void Load(Job job, Instant now);
+  void Load(Job job, const TransitionTime& time);
   void Submit(Submission submission);
   void Cancel(const JobId& id, const TransitionTime& time);
   /// @}
@@ -156,7 +160,7 @@
 
   /// Returns the jobs whose retention time has passed and whose final state was
   /// part of an earlier TakeChanges().
-  std::vector<JobId> ExpiredJobs(Instant wall) const;
+  std::vector<JobId> ExpiredJobs(Instant now) const;
 
   /// Removes a final job. Unknown jobs are ignored.
   void Erase(const JobId& id);
--- a/packages/workload/job_transitions.cc
+++ b/packages/workload/job_transitions.cc
@@ -49,6 +49,7 @@
 void FinishJob(Job& job, JobPhase phase, const TransitionTime& time) {
   job.phase = phase;
   job.ended_at = time.wall;
+  job.final_since = time.now;
   StopAllTasks(job);
 }
 
--- a/tests/gateway/job_removal_test.cc
+++ b/tests/gateway/job_removal_test.cc
@@ -114,6 +114,7 @@
     this->task.Run([this] {
       GatewaySettings settings;
       settings.instance = InstanceId("gateway");
+      settings.session.planner.min_loaded_retention_ms = 0;
       this->core = std::make_unique<Core>(
           this->task, this->log, settings,
           ConfigurationSource{"op", "config",
