Test that a term that begins late grants no lease at first

A planner dates its permission to grant leases, 15 s, from the beginning of its term. Its claim may be much older: after it, the process may be paused, or wait for the topic of submissions. Another planner counts the leases of this one from its own claim, so that one of the two could start a task elsewhere while the other kept or started it (TWICE).

Found by reading. This test keeps it closed.

--- a/tests/gateway/planner_session_test.cc
+++ b/tests/gateway/planner_session_test.cc
@@ -358,6 +358,24 @@
   CHECK(restarted_at >= fixture.At("w1").authority_until_ms);
 }
 
+TEST_CASE(
+    "a term that begins late grants no lease before an append is stored") {
+  // Guards against a planner that was replaced between its claim and its term.
+  SessionFixture fixture;
+  fixture.StartTask();
+  fixture.task.Run(
+      [&] { fixture.successor_log.failure = KeyedLogFailure::kNoAnswer; });
+  fixture.TakeOver(/*resigned=*/false);
+  REQUIRE(fixture.WaitFor([&] { return fixture.At("w1").epoch == 2; }));
+  const std::int64_t before = fixture.At("w1").authority_until_ms;
+  g_usleep(1'000 * static_cast<gulong>(2 * kAnswerDelayMs));
+  CHECK(fixture.At("w1").authority_until_ms == before);
+  fixture.task.Run(
+      [&] { fixture.successor_log.failure = KeyedLogFailure::kNone; });
+  CHECK(fixture.WaitFor(
+      [&] { return fixture.At("w1").authority_until_ms > before; }));
+}
+
 TEST_CASE("a planner that resigns grants no lease beyond the next one's wait") {
   // Guards against two runs of a task when a planner's resignation is stored,
   // its answer is lost, and the planner goes on.
