End no run by a list from before its stop

What callers see: a task may be started elsewhere while its worker carries out a late start that is then stopped.

Cause: a list that was requested in the millisecond in which a stop was answered counted as requested after it, although it may have been made before. A late start in between was in neither list, and the run was reported as refused.

Only lists that are requested in a later millisecond count.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -233,7 +233,7 @@
       this->MarkEnded(state, end->end);
     } else if (Contains(this->running, key)) {
       state.confirmed = true;
-    } else if (state.closed && !state.ended && sent >= state.closed_at &&
+    } else if (state.closed && !state.ended && sent > state.closed_at &&
                end == this->ended.end()) {
       // No end is listed, and the worker rejects a late start.
       const RunEnd unlisted =
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -135,7 +135,7 @@
     bool start_sent = false;
     bool stop_done = false;
     /// The worker rejects further starts of the run, because it has stopped or
-    /// ended there. Lists requested before `closed_at` may lack its end.
+    /// ended there. Only lists requested after `closed_at` contain its end.
     bool closed = false;
     Instant closed_at;
     /// A start order was not answered and may still be executed later.
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -147,6 +147,21 @@
   CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
 }
 
+TEST_CASE("a list requested just before the stop's answer ends no run") {
+  // Guards against a late start that the stop ends after the list was made.
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{10});
+  table.SetDesired({MakeDesired(true)}, Instant{150});
+  REQUIRE(table.TakeDue(Instant{150}).stops.size() == 1);
+  table.OnStop(kRun, OrderResult::kDone, Instant{151});
+  table.OnLists(MakeReply(false), Instant{151}, Instant{152});
+  CHECK(table.Ends().empty());
+  table.OnLists(MakeReply(false), Instant{152}, Instant{153});
+  CHECK(table.Ends().size() == 1);
+}
+
 TEST_CASE("a draining worker is sent no starts") {
   RunTable table({});
   table.SetDraining(true);
