Derive no run end while the worker lists only some ends

What callers see: a task that is done is run again.

Cause: a worker lists at most 500 unacknowledged ends at a time. A run whose repeated start was rejected because it had ended, and whose end was beyond these, counted as refused.

A list with 500 ends is taken as incomplete.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -234,7 +234,7 @@
     } else if (Contains(this->running, key)) {
       state.confirmed = true;
     } else if (state.closed && !state.ended && sent > state.closed_at &&
-               end == this->ended.end()) {
+               end == this->ended.end() && !reply.ends_truncated) {
       // No end is listed, and the worker rejects a late start.
       const RunEnd unlisted =
           state.confirmed ? RunEnd::kStopped : RunEnd::kRefused;
--- a/packages/worker_agent/worker_port.h
+++ b/packages/worker_agent/worker_port.h
@@ -132,6 +132,9 @@
   std::int64_t born_ms = 0;
   std::vector<ListedRun> running;
   std::vector<ListedRunEnd> ended;
+  /// The worker has listed as many ends as it lists at a time, so that further
+  /// ones may exist.
+  bool ends_truncated = false;
 };
 
 /// Answer to a start order. The clock is 0 if the answer contains none.
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -88,6 +88,22 @@
         worker_agent::OrderResult::kNoAnswer);
 }
 
+TEST_CASE("a list with as many ends as fit is not taken as complete") {
+  // Guards against repeating a task that is done: its end is not listed yet.
+  const auto decode = [](int ends) {
+    std::string rows;
+    for (int i = 1; i <= ends; ++i) {
+      rows += (i > 1 ? "," : "") + std::string("[") + std::to_string(i) +
+              R"(,"a.0.1.9",1,"done",""])";
+    }
+    return detail::DecodeTaskLists(R"({"clock_ms":5,"ended_tasks":[)" + rows +
+                                   "]}");
+  };
+  CHECK_FALSE(decode(499).ends_truncated);
+  CHECK(decode(500).ends_truncated);
+  CHECK_FALSE(detail::DecodeTaskLists("{}").ends_truncated);
+}
+
 TEST_CASE("a submission is read with its omitted fields") {
   auto spec = DecodeJobSpec(
       R"({"task_spec":"t","steps":[{"count":4,"cpu":500,"gpu":2,"gang":true},)"
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -162,6 +162,25 @@
   CHECK(table.Ends().size() == 1);
 }
 
+TEST_CASE("a run is not refused while the worker lists only some ends") {
+  // Guards against repeating a task that is done: its end is not listed yet.
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  table.TakeDue(Instant{0});
+  table.OnStart(kRun, OrderResult::kNoAnswer, Instant{10});
+  table.TakeDue(Instant{150});
+  table.OnStart(kRun, OrderResult::kOutdated, Instant{160});
+  LeaseReply truncated = MakeReply(false);
+  truncated.ends_truncated = true;
+  table.OnLists(truncated, Instant{170}, Instant{180});
+  CHECK(table.Ends().empty());
+  table.OnLists(
+      MakeReply(false, {{501, kTask, 3, workload::RunEnd::kDone, ""}}),
+      Instant{190}, Instant{200});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kDone);
+}
+
 TEST_CASE("a draining worker is sent no starts") {
   RunTable table({});
   table.SetDraining(true);
