Stop starts of an earlier agent process before refusing them

What callers see: a task may run twice after its agent has restarted.

Cause: an agent that starts anew takes a run of its first orders that the worker does not list for one that was never started. When the worker then refused the start, or was draining, the run was reported as refused.

If the worker is older than the agent's process, the new runs of the first orders of a planner count as possibly sent. They are stopped before they are reported as refused. Runs that are ordered later were assigned after that, so no earlier process knew of them.

Evidence: without the change "a refused start is stopped first if the agent may have sent it" fails (0 stops).

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -50,7 +50,9 @@
   ++this->version;
 }
 
-void RunTable::SetDesired(std::vector<DesiredRun> desired, Instant now) {
+void RunTable::SetDesired(std::vector<DesiredRun> desired,
+                          Instant now,
+                          bool maybe_started) {
   std::map<RunKey, State> next;
   for (DesiredRun& run : desired) {
     const RunKey key = KeyOf(run);
@@ -69,6 +71,8 @@
     } else {
       state.desired = std::move(run);
       state.retry_at = now;
+      state.start_sent = maybe_started;
+      state.start_unanswered = maybe_started;
       // An earlier process of the agent may have started the run.
       state.confirmed = Contains(this->running, key);
       if (this->exited) {
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -74,8 +74,11 @@
   /// Clears all state for a new incarnation of the worker.
   void Reset();
 
-  /// Replaces the requested runs.
-  void SetDesired(std::vector<DesiredRun> desired, Instant now);
+  /// Replaces the requested runs. With `maybe_started`, an earlier process of
+  /// the agent may have sent starts of runs that are new to this one.
+  void SetDesired(std::vector<DesiredRun> desired,
+                  Instant now,
+                  bool maybe_started = false);
 
   /// Sets whether the worker is draining. A draining worker is sent no new
   /// runs.
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -36,7 +36,7 @@
 class WorkerAgent {
  public:
   /// `port` must outlive the agent. `incarnation` is the start time of the
-  /// process.
+  /// process (Unix time in µs).
   WorkerAgent(Task& task,
               Port& port,
               std::uint64_t incarnation,
@@ -45,6 +45,7 @@
       : task(task),
         port(port),
         incarnation(incarnation),
+        started_unix_ms(static_cast<std::int64_t>(incarnation / kMicrosPerMs)),
         settings(std::move(settings)),
         reports(task, this->settings.instance, this->ReportCallbacks()),
         orders(port, metrics, this->settings.answer_timeout_ms),
@@ -115,6 +116,8 @@
   }
 
  private:
+  static constexpr std::uint64_t kMicrosPerMs = 1'000;
+
   bool Draining() const {
     return this->description.availability ==
            workload::WorkerAvailability::kDraining;
@@ -162,7 +165,10 @@
   }
 
   ReportChannelCallbacks ReportCallbacks() {
-    return {[this](std::uint64_t epoch) { this->orders.SetEpoch(epoch); },
+    return {[this](std::uint64_t epoch) {
+              this->first_orders = true;
+              this->orders.SetEpoch(epoch);
+            },
             [this](const rpc::ExchangeRequest& request) {
               this->ApplyRequest(request);
             },
@@ -251,7 +257,12 @@
     }
     this->acknowledged_end =
         std::max(this->acknowledged_end, request.acknowledged_end());
-    this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now());
+    // An earlier process of this agent may have sent a planner's first orders.
+    const bool maybe_started =
+        std::exchange(this->first_orders, false) &&
+        this->description.incarnation.born_ms < this->started_unix_ms;
+    this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now(),
+                          maybe_started);
     this->SendDue();
     return this->lease_timer.Delayed() &&
            this->acknowledged_end >= this->listed_end;
@@ -541,6 +552,7 @@
   Task& task;
   Port& port;
   std::uint64_t incarnation;
+  std::int64_t started_unix_ms;
   WorkerAgentSettings settings;
   ReportChannel reports;
   OrderSender<Port> orders;
@@ -571,6 +583,8 @@
   WorkerExit restart_exit = WorkerExit::kCrash;
   /// Latest heartbeat of the new process; followed once those runs have ended.
   std::optional<WorkerHeartbeat> successor;
+  /// The followed planner has not sent orders for the worker yet.
+  bool first_orders = true;
   LeaseAuthority authority;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t listed_end = 0;
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -55,8 +55,10 @@
   void Start(const StartOrder& order,
              Instant,
              const std::function<void(StartReply)>& done) {
-    this->running.push_back({order.task, order.run, 10, {}, 0});
-    done({OrderResult::kDone, 1});
+    if (this->start_result == OrderResult::kDone) {
+      this->running.push_back({order.task, order.run, 10, {}, 0});
+    }
+    done({this->start_result, 1});
   }
   void Stop(const StopOrder&,
             Instant,
@@ -111,6 +113,7 @@
   std::atomic<bool> silent = false;
   /// Every other request is refused, and the rest are not answered.
   std::atomic<bool> unstable = false;
+  std::atomic<OrderResult> start_result = OrderResult::kDone;
   std::vector<ListedRun> running;
   std::vector<ListedRunEnd> ended;
   int stops = 0;
@@ -122,11 +125,14 @@
 template <typename Port = FakePort>
 class AgentFixture {
  public:
-  explicit AgentFixture(WorkerAgentSettings settings = {})
+  /// The agent's process starts at `started_ms`.
+  explicit AgentFixture(WorkerAgentSettings settings = {},
+                        std::uint64_t started_ms = 1)
       : settings(settings), task("test") {
-    this->task.Run([this] {
+    this->task.Run([&, this] {
       this->agent = std::make_unique<WorkerAgent<Port>>(
-          this->task, this->port, 1, this->settings, this->metrics);
+          this->task, this->port, started_ms * 1'000, this->settings,
+          this->metrics);
     });
   }
   ~AgentFixture() {
@@ -460,6 +466,31 @@
         workload::RunEnd::kRefused);
 }
 
+TEST_CASE("a refused start is stopped first if the agent may have sent it") {
+  // Guards against a late start that an earlier process of the agent has sent.
+  constexpr std::uint64_t kAgentStartedMs = 50;
+  AgentFixture<SimulatedWorker> fixture({}, kAgentStartedMs);
+  std::int64_t born_ms = 0;
+  bool stopped = false;
+  SUBCASE("the worker is older than the agent") {
+    born_ms = 10;
+    stopped = true;
+  }
+  SUBCASE("the worker is newer than the agent") {
+    born_ms = 60;
+  }
+  fixture.port.born_ms = born_ms;
+  fixture.port.start_result = OrderResult::kUnhealthy;
+  fixture.Heartbeat(born_ms, WorkerAvailability::kReady);
+  fixture.Order(born_ms);
+  g_usleep(100'000);
+  const auto reply = fixture.Exchange();
+  REQUIRE(reply.ended_size() == 1);
+  CHECK(static_cast<workload::RunEnd>(reply.ended(0).end()) ==
+        workload::RunEnd::kRefused);
+  CHECK(fixture.port.stops == (stopped ? 1 : 0));
+}
+
 TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
   // Guards against orders to a server that has left.
   AgentFixture<> fixture;
