Ignore orders and leases for an earlier process of an agent

Cause: a lease is dated on the agent's boot clock, but nothing said whose. An exchange that was sent to a process of an agent can be delivered to the next one. If the machine has been started anew in between, its boot clock has, too, and the permission lay far in the future. The request now names the process, and another one answers without applying the orders and the permission. The field is optional, so that older planners and agents still work together. Evidence: without the check in ReportChannel the new test fails, the run being started.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -146,6 +146,7 @@
   request.set_wait_ms(wait_ms);
   request.set_seen_report(this->seen_report);
   if (this->role_confirmed) {
+    request.set_agent_incarnation(this->agent_incarnation);
     this->GrantLease(request, now);
     this->AddOrders(request);
   }
--- a/packages/worker_agent/report_channel.cc
+++ b/packages/worker_agent/report_channel.cc
@@ -9,8 +9,12 @@
 
 ReportChannel::ReportChannel(Task& task,
                              InstanceId agent,
+                             std::uint64_t incarnation,
                              ReportChannelCallbacks callbacks)
-    : task(task), agent(std::move(agent)), callbacks(std::move(callbacks)) {}
+    : task(task),
+      agent(std::move(agent)),
+      incarnation(incarnation),
+      callbacks(std::move(callbacks)) {}
 
 ReportChannel::~ReportChannel() {
   *this->alive = false;
@@ -42,7 +46,12 @@
   }
   if (request.sequence() > this->last_exchange) {
     this->last_exchange = request.sequence();
-    this->callbacks.on_request(request);
+    // The clock that a lease for an earlier process was dated by may have
+    // started anew with the machine.
+    if (request.agent_incarnation() == 0 ||
+        request.agent_incarnation() == this->incarnation) {
+      this->callbacks.on_request(request);
+    }
   }
   this->AnswerPending();
   if (request.wait_ms() <= 0 || request.seen_report() < this->report) {
--- a/packages/worker_agent/report_channel.h
+++ b/packages/worker_agent/report_channel.h
@@ -18,7 +18,8 @@
 struct ReportChannelCallbacks {
   /// Called when the agent follows another planner.
   std::function<void(std::uint64_t epoch)> on_epoch;
-  /// Called with each request of the followed planner, in order and once.
+  /// Called with each request of the followed planner that is for this process,
+  /// in order and once.
   std::function<void(const rpc::ExchangeRequest&)> on_request;
   /// Returns a reply with the agent's state.
   std::function<rpc::ExchangeReply()> reply;
@@ -29,8 +30,12 @@
 /// its wait is over.
 class ReportChannel {
  public:
-  /// `agent` is the instance that the channel belongs to.
-  ReportChannel(Task& task, InstanceId agent, ReportChannelCallbacks callbacks);
+  /// `agent` is the instance that the channel belongs to, `incarnation` the
+  /// start time of its process.
+  ReportChannel(Task& task,
+                InstanceId agent,
+                std::uint64_t incarnation,
+                ReportChannelCallbacks callbacks);
   ~ReportChannel();
 
   ReportChannel(const ReportChannel&) = delete;
@@ -51,6 +56,7 @@
 
   Task& task;
   InstanceId agent;
+  std::uint64_t incarnation;
   ReportChannelCallbacks callbacks;
   /// Agent that the last rejected exchange was meant for, for the log.
   std::string rejected_agent;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -45,9 +45,11 @@
       : task(task),
         port(port),
         incarnation(incarnation),
-        started_unix_ms(static_cast<std::int64_t>(incarnation / kMicrosPerMs)),
         settings(std::move(settings)),
-        reports(task, this->settings.instance, this->ReportCallbacks()),
+        reports(task,
+                this->settings.instance,
+                incarnation,
+                this->ReportCallbacks()),
         orders(port, metrics, this->settings.answer_timeout_ms),
         runs(this->settings.runs),
         pace(this->settings.pace),
@@ -116,8 +118,6 @@
   }
 
  private:
-  static constexpr std::uint64_t kMicrosPerMs = 1'000;
-
   bool Draining() const {
     return this->description.availability ==
            workload::WorkerAvailability::kDraining;
@@ -258,9 +258,11 @@
     this->acknowledged_end =
         std::max(this->acknowledged_end, request.acknowledged_end());
     // An earlier process of this agent may have sent a planner's first orders.
+    constexpr std::uint64_t kMicrosPerMs = 1'000;
     const bool maybe_started =
         std::exchange(this->first_orders, false) &&
-        this->description.incarnation.born_ms < this->started_unix_ms;
+        static_cast<std::uint64_t>(this->description.incarnation.born_ms) <
+            this->incarnation / kMicrosPerMs;
     this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now(),
                           maybe_started);
     this->SendDue();
@@ -552,7 +554,6 @@
   Task& task;
   Port& port;
   std::uint64_t incarnation;
-  std::int64_t started_unix_ms;
   WorkerAgentSettings settings;
   ReportChannel reports;
   OrderSender<Port> orders;
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -183,6 +183,7 @@
   rpc::ExchangeReply Exchange(rpc::ExchangeRequest request = {}) {
     request.set_epoch(1);
     request.set_sequence(++this->exchanges);
+    request.set_agent_incarnation(this->addressed_incarnation);
     rpc::ExchangeReply result;
     this->task.Run([&] {
       this->agent->OnExchange(request,
@@ -201,6 +202,8 @@
   std::unique_ptr<WorkerAgent<Port>> agent;
   std::uint64_t sequence = 0;
   std::uint64_t exchanges = 0;
+  /// Process of the agent that the exchanges are for; 0 for any.
+  std::uint64_t addressed_incarnation = 0;
   /// The answer to the last heartbeat.
   bool followed = false;
 };
@@ -491,6 +494,20 @@
   CHECK(fixture.port.stops == (stopped ? 1 : 0));
 }
 
+TEST_CASE("orders and leases for an earlier process of the agent are ignored") {
+  // Guards against a lease dated by a clock that has started anew since.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.addressed_incarnation = 7;
+  fixture.Order(10);
+  g_usleep(100'000);
+  CHECK(fixture.port.running.empty());
+  fixture.addressed_incarnation = fixture.Exchange().agent_incarnation();
+  fixture.Order(10);
+  g_usleep(100'000);
+  CHECK(fixture.port.running.size() == 1);
+}
+
 TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
   // Guards against orders to a server that has left.
   AgentFixture<> fixture;
