--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -120,3 +120,18 @@
   # Process tests measure deadlines, so no other tests run at the same time.
   set_tests_properties(${carobrill_test_names} PROPERTIES RUN_SERIAL TRUE)
 endfunction()
+
+# carobrill_soak(): fault soak of real processes, with short runs of fixed seeds
+# as tests. Long runs are made by hand.
+function(carobrill_soak)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/soak/*.cc)
+  add_executable(carobrill_soak ${sources})
+  target_compile_options(carobrill_soak PRIVATE ${CAROBRILL_WARNINGS})
+  target_link_libraries(carobrill_soak PRIVATE carobrill_gateway nlohmann_json::nlohmann_json)
+  foreach(seed 1 2)
+    add_test(NAME soak.${seed}
+      COMMAND carobrill_soak --program $<TARGET_FILE:carobrilld> --seed ${seed}
+              --seconds 15 --gateways 2 --agents 4)
+    set_tests_properties(soak.${seed} PROPERTIES LABELS soak TIMEOUT 150 RUN_SERIAL TRUE)
+  endforeach()
+endfunction()
