soak: let an isolated planner return to agents that have restarted

A planner is cut off until another one has taken over; agents that the new planner cannot reach are killed and start again, and then the earlier planner reaches them. The restarted agent does not know the newer epoch, follows the earlier planner and renews the leases of its worker, while the new planner counts them as ended.

--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -86,9 +86,9 @@
 std::string Client::Query(std::size_t gateway, const JobEntry& job) {
   const standin::Response response = this->Call(gateway, "GET", job, "");
   const auto body = nlohmann::json::parse(response.body, nullptr, false);
-  const std::string state = response.status == 200 && body.is_object()
-                                ? body.value("state", std::string())
-                                : std::to_string(response.status);
+  std::string state = response.status == 200 && body.is_object()
+                          ? body.value("state", std::string())
+                          : std::to_string(response.status);
   this->book.OnState(job.id, gateway, response.status, state);
   return state;
 }
@@ -97,7 +97,7 @@
                                const std::string& method,
                                const JobEntry& job,
                                const std::string& body) {
-  const standin::Response response = this->connections[gateway]->Call(
+  standin::Response response = this->connections[gateway]->Call(
       method, job.prefix + job.id,
       {{"Host", kHost},
        {"Authorization", std::string("Bearer ") + kKey},
--- a/tests/soak/fault_series.cc
+++ b/tests/soak/fault_series.cc
@@ -19,12 +19,12 @@
 }  // namespace
 
 const std::set<std::string>& FaultNames() {
-  static const std::set<std::string> kNames = {
+  static const std::set<std::string> names = {
       "agent_cuts",        "agent_restarts",   "drains",
       "freezes",           "gateway_restarts", "late_orders",
       "planner_isolation", "runner_crashes",   "runner_mutes",
-      "store_outages"};
-  return kNames;
+      "earlier_planner",   "store_outages"};
+  return names;
 }
 
 FaultSeries::FaultSeries(Site& site, const Options& options)
@@ -89,10 +89,11 @@
 }
 
 void FaultSeries::StartSeries() {
-  static const std::map<std::string, void (FaultSeries::*)()> kSeries = {
+  static const std::map<std::string, void (FaultSeries::*)()> series = {
       {"agent_cuts", &FaultSeries::CutAgents},
       {"agent_restarts", &FaultSeries::RestartAgents},
       {"drains", &FaultSeries::DrainRunners},
+      {"earlier_planner", &FaultSeries::ReturnEarlierPlanner},
       {"freezes", &FaultSeries::Freeze},
       {"gateway_restarts", &FaultSeries::RestartGateways},
       {"late_orders", &FaultSeries::DelayOrders},
@@ -104,7 +105,7 @@
   std::advance(
       name, this->Between(
                 0, static_cast<std::int64_t>(this->options.faults.size()) - 1));
-  (this->*kSeries.at(*name))();
+  (this->*series.at(*name))();
 }
 
 void FaultSeries::RestartGateways() {
@@ -311,6 +312,72 @@
   }
 }
 
+void FaultSeries::ReturnEarlierPlanner() {
+  constexpr std::int64_t kTakeOverMs = 6'000;
+  const auto planner = this->site.Planner();
+  if (!planner.has_value() || this->site.gateways.size() < 2) {
+    return;
+  }
+  GatewayNode& node = this->site.gateways[*planner];
+  const std::string& name = node.process->Name();
+  this->Note("planner " + name + " is cut off until another one takes over");
+  const std::int64_t duration = this->Between(9'000, 13'000);
+  LinkFault fault;
+  fault.hold_requests = true;
+  fault.hold_replies = true;
+  fault.drop_held = true;
+  this->Disturb(*node.store_link, fault, duration, name);
+  this->Disturb(*node.rpc_link, fault, duration, name);
+  fault.source = planner;
+  for (const GatewayNode& other : this->site.gateways) {
+    this->Disturb(*other.rpc_link, fault, duration, name);
+  }
+  std::vector<std::uint64_t> cuts;
+  cuts.reserve(this->site.agents.size());
+  for (const auto& agent : this->site.agents) {
+    cuts.push_back(this->Disturb(*agent->rpc_link, fault, duration, name));
+  }
+  this->AwaitPlanner(*planner, NowMs() + kTakeOverMs, cuts);
+}
+
+void FaultSeries::AwaitPlanner(std::size_t earlier,
+                               std::int64_t limit_ms,
+                               const std::vector<std::uint64_t>& cuts) {
+  const auto planner = this->site.Planner();
+  if (!planner.has_value() || *planner == earlier) {
+    if (NowMs() < limit_ms) {
+      this->At(NowMs() + kPollMs, [this, earlier, limit_ms, cuts] {
+        this->AwaitPlanner(earlier, limit_ms, cuts);
+      });
+    }
+    return;
+  }
+  LinkFault fault;
+  fault.source = planner;
+  fault.hold_requests = true;
+  fault.hold_replies = true;
+  fault.drop_held = true;
+  const std::int64_t cut_at = NowMs() + this->Between(300, 2'000);
+  const std::int64_t restart_at = cut_at + this->Between(0, 1'000);
+  const std::int64_t return_at = restart_at + this->Between(50, 2'000);
+  for (const std::size_t agent : this->PickAgents(
+           std::max<std::size_t>(2, this->site.agents.size() / 3))) {
+    AgentNode* node = this->site.agents[agent].get();
+    this->At(cut_at, [this, node, fault] {
+      this->Note(node->process->Name() + " is cut off from the new planner");
+      this->Disturb(*node->rpc_link, fault, this->Between(6'000, 9'000),
+                    node->process->Name());
+    });
+    this->At(restart_at, [this, node] {
+      this->RestartNext({{node->process.get()}, SIGKILL, kPollMs, 0});
+    });
+    this->At(return_at, [this, node, cut = cuts[agent]] {
+      this->Note(node->process->Name() + " is reached by the earlier planner");
+      node->rpc_link->Remove(cut);
+    });
+  }
+}
+
 void FaultSeries::CrashRunners() {
   const bool refuse = this->Chance(0.5);
   for (const std::size_t agent :
@@ -373,13 +440,14 @@
   }
 }
 
-void FaultSeries::Disturb(Proxy& proxy,
-                          const LinkFault& fault,
-                          std::int64_t duration_ms,
-                          const std::string& name) {
+std::uint64_t FaultSeries::Disturb(Proxy& proxy,
+                                   const LinkFault& fault,
+                                   std::int64_t duration_ms,
+                                   const std::string& name) {
   const std::uint64_t number = proxy.Add(fault);
   this->Mark(name, duration_ms);
   this->At(NowMs() + duration_ms, [&proxy, number] { proxy.Remove(number); });
+  return number;
 }
 
 void FaultSeries::Mark(const std::string& name, std::int64_t duration_ms) {
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -55,6 +55,9 @@
   void DisturbStore();
   void CutAgents();
   void IsolatePlanner();
+  /// Cuts the planner off until another one has taken over, restarts agents
+  /// that the new planner cannot reach, and lets the earlier one reach them.
+  void ReturnEarlierPlanner();
   void CrashRunners();
   void MuteRunners();
   void DrainRunners();
@@ -65,10 +68,14 @@
                 std::int64_t kill_at_ms,
                 std::size_t disturbance);
   /// Applies a fault to a proxy for a while, as a disturbance of `name`.
-  void Disturb(Proxy& proxy,
-               const LinkFault& fault,
-               std::int64_t duration_ms,
-               const std::string& name);
+  /// Returns its number.
+  std::uint64_t Disturb(Proxy& proxy,
+                        const LinkFault& fault,
+                        std::int64_t duration_ms,
+                        const std::string& name);
+  void AwaitPlanner(std::size_t earlier,
+                    std::int64_t limit_ms,
+                    const std::vector<std::uint64_t>& cuts);
   /// Marks a disturbance of `name` for a while.
   void Mark(const std::string& name, std::int64_t duration_ms);
   /// A cut in both directions or one, that keeps or drops bytes.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/soak/checker.h"
@@ -25,10 +26,10 @@
 enum ExitCode { kHeld = 0, kBroken = 1, kCannotRun = 2 };
 
 constexpr std::size_t kThreadStackBytes = 512 * 1024;
-constexpr std::size_t kClients = 4;
+constexpr std::size_t kClients = 12;
 /// Mean pause of a client between two calls, times the number of agents. Keeps
 /// about half of the accelerators in use.
-constexpr std::int64_t kPauseAgentsMs = 25'000;
+constexpr std::int64_t kPauseAgentsMs = 75'000;
 constexpr std::int64_t kStartLimitMs = 20'000;
 constexpr std::int64_t kWarmUpMs = 3'000;
 /// After the last fault: late orders arrive, and all jobs have to end.
@@ -77,8 +78,11 @@
     series.Wait(kQueryRoundMs);
   }
   std::vector<Finding> findings;
+  findings.reserve(states.size());
   for (const auto& [id, state] : states) {
-    findings.push_back({"LOST", "job " + id + " has not completed: " + state});
+    std::string text = "job ";
+    text.append(id).append(" has not completed: ").append(state);
+    findings.push_back({"LOST", std::move(text)});
   }
   return findings;
 }
