soak: end runs that a later one replaces on the same runner

The stand-in forgets a run when a higher one of the task starts beside it, so the run counted as going on until the end and each later start broke LIMIT. It now ends right after the start that replaced it; TWICE still counts that start.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -132,6 +132,6 @@
     add_test(NAME soak.${seed}
       COMMAND carobrill_soak --program $<TARGET_FILE:carobrilld> --seed ${seed}
               --seconds 15 --gateways 2 --agents 4)
-    set_tests_properties(soak.${seed} PROPERTIES LABELS soak TIMEOUT 150 RUN_SERIAL TRUE)
+    set_tests_properties(soak.${seed} PROPERTIES LABELS soak TIMEOUT 180 RUN_SERIAL TRUE)
   endforeach()
 endfunction()
--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 namespace carobrill::soak {
 namespace {
@@ -49,6 +50,7 @@
       spans(site.runs.Spans()) {}
 
 std::vector<Finding> Checker::Check() {
+  this->EndReplacedRuns();
   this->CorrectLapses();
   this->EndGangs();
   for (const RunSpan& span : this->spans) {
@@ -66,6 +68,20 @@
   return this->findings;
 }
 
+// The stand-ins forget a run without an end when a later run of the task starts
+// on the same runner. Both have run at the moment of that start.
+void Checker::EndReplacedRuns() {
+  std::map<std::pair<std::string, std::string>, RunSpan*> open;
+  for (RunSpan& span : this->spans) {
+    RunSpan*& last = open[{span.task, span.runner}];
+    if (last != nullptr && last->ended_ms == 0) {
+      last->ended_ms = span.began_ms + 1;
+      last->how = "replaced";
+    }
+    last = &span;
+  }
+}
+
 void Checker::CorrectLapses() {
   for (RunSpan& span : this->spans) {
     for (const auto& agent : this->site.agents) {
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -33,6 +33,7 @@
  private:
   using Spans = std::vector<const standin::RunSpan*>;
 
+  void EndReplacedRuns();
   void CorrectLapses();
   void EndGangs();
   void CheckTask(const std::string& task, const Spans& runs);
