Raise the fence when another process of a worker is followed

Cause: a worker that starts again under its id has seen no fence, and its clock and the numbers of its ends start anew. A call to its earlier process that is carried out late, for example a renewal with a high acknowledged end, was accepted: the worker forgot ends that nobody had stored, so that a task that was done ran again, and held its runs for longer than the planner knew. The fence now rises with each process that is followed, so that the first call to it shuts out those to the earlier one. Evidence: without the change the new test fails.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -131,8 +131,7 @@
     return life;
   }
 
-  /// Returns whether orders for the present incarnation of a worker may take
-  /// effect in a later one, which has the same id.
+  /// Returns whether orders for the worker may take effect in its next process.
   bool MayHoldRuns(const WorkerId& worker) const {
     return worker == this->description.incarnation.id && !this->exited &&
            !this->runs.AllEnded();
@@ -258,11 +257,11 @@
     this->acknowledged_end =
         std::max(this->acknowledged_end, request.acknowledged_end());
     // An earlier process of this agent may have sent a planner's first orders.
-    constexpr std::uint64_t kMicrosPerMs = 1'000;
+    constexpr std::int64_t kMicrosPerMs = 1'000;
     const bool maybe_started =
         std::exchange(this->first_orders, false) &&
-        static_cast<std::uint64_t>(this->description.incarnation.born_ms) <
-            this->incarnation / kMicrosPerMs;
+        this->description.incarnation.born_ms * kMicrosPerMs <
+            static_cast<std::int64_t>(this->incarnation);
     this->runs.SetDesired(DecodeOrders(request), BootClock{}.Now(),
                           maybe_started);
     this->SendDue();
@@ -523,8 +522,9 @@
     this->successor.reset();
   }
 
-  /// Clears what is known about the worker's process.
+  /// Forgets the worker's process. The next one rejects late calls to it.
   void ResetWorkerState() {
+    ++this->fence;
     this->orders.DropResults();
     this->pace.Reset();
     this->refusals = 0;
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -75,6 +75,7 @@
                    Instant,
                    const std::function<void(LeaseReply)>& done) {
     ++this->calls;
+    this->fence = request.fence;
     // Short waits of the agent, so that its calls do not follow without pause.
     g_usleep(1'000);
     LeaseReply reply;
@@ -109,6 +110,8 @@
   std::atomic<std::int64_t> born_ms = 0;
   /// Number of requests for the lists.
   std::atomic<int> calls = 0;
+  /// Fence of the last such request.
+  std::atomic<std::uint64_t> fence = 0;
   std::atomic<bool> refusing = false;
   std::atomic<bool> silent = false;
   /// Every other request is refused, and the rest are not answered.
@@ -508,6 +511,21 @@
   CHECK(fixture.port.running.size() == 1);
 }
 
+TEST_CASE("calls to a worker's next process carry a higher fence") {
+  // Guards against a late call that makes the next process forget its ends.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  const std::uint64_t before = fixture.port.fence;
+  REQUIRE(before > 0);
+  fixture.Restart(20);
+  fixture.Heartbeat(20, WorkerAvailability::kReady);
+  constexpr gulong kSeveralCallsUs = 500'000;
+  g_usleep(kSeveralCallsUs);
+  CHECK(fixture.port.fence > before);
+}
+
 TEST_CASE("a delayed heartbeat does not bring back a worker that has left") {
   // Guards against orders to a server that has left.
   AgentFixture<> fixture;
