Keep leases when the store goes away right after a takeover

A store that is away for 5 to 15 s just after a takeover made all runs lapse. Cause: a new planner confirmed its role for every agent, also for those that had run all the time. Such an agent would have followed any later planner that reaches it, and one that does not reach it waits for the leases of this one, so nothing has to be confirmed. An agent now gives the age of its process. The limit of 15 s counts from the claim, not from the begin of the term, so that a term that begins late grants nothing before an append is stored.

--- a/packages/gateway/gateway_core.h
+++ b/packages/gateway/gateway_core.h
@@ -427,6 +427,7 @@
     this->last_tried_epoch = epoch;
     this->lease.ObserveOwnClaim(epoch);
     const Instant now = BootClock{}.Now();
+    this->claimed_at = now;
     this->earlier_leases_ms =
         EarlierLeasesMs(this->lease.Newest(), this->settings.instance,
                         {this->settings.session.link.lease_ms,
@@ -498,7 +499,8 @@
     this->session = std::make_unique<PlannerSession<LogStore>>(
         this->task, this->log, this->settings.instance,
         this->settings.processor_millis,
-        PlannerTerm{this->IdentityOf(epoch), this->earlier_leases_end},
+        PlannerTerm{this->IdentityOf(epoch), this->claimed_at,
+                    this->earlier_leases_end},
         this->settings.session, this->ports.planner, this->planner_log,
         [this, alive = this->alive](const std::string& reason) {
           if (*alive) {
@@ -563,6 +565,8 @@
   bool claiming = false;
   bool draining = false;
   std::uint64_t last_tried_epoch = 0;
+  /// Boot clock: when the latest claim was sent.
+  Instant claimed_at;
   /// How long leases of earlier planners may last after the latest claim.
   std::int64_t earlier_leases_ms = 0;
   /// Boot clock: the same for the last claim that succeeded.
--- a/packages/gateway/lease_bounds.cc
+++ b/packages/gateway/lease_bounds.cc
@@ -10,14 +10,20 @@
 constexpr std::int64_t kClockDriftPercent = 3;
 constexpr std::int64_t kLeaseMarginMs = 150;
 
+constexpr std::int64_t kPercent = 100;
+
 }  // namespace
 
 std::int64_t MaxLeaseDurationMs(std::int64_t granted_ms) {
-  constexpr std::int64_t kPercent = 100;
   return granted_ms * (kPercent + kClockDriftPercent) / kPercent +
          kLeaseMarginMs;
 }
 
+Instant LatestProcessStart(Instant answered_at, std::int64_t age_ms) {
+  return answered_at.After(-age_ms * (kPercent - kClockDriftPercent) /
+                           kPercent);
+}
+
 // A planner that resigns, or whose process is known to have ended, grants no
 // lease that ends later than one that starts now. Any other one may not know
 // of the claim, and goes on until it has been without the store for too long.
--- a/packages/gateway/lease_bounds.h
+++ b/packages/gateway/lease_bounds.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "packages/core/ids.h"
+#include "packages/core/time.h"
 #include "packages/gateway/planner_lease.h"
 
 namespace carobrill::gateway {
@@ -11,6 +12,10 @@
 /// Returns how long a lease of `granted_ms` may last on a worker, in ms.
 std::int64_t MaxLeaseDurationMs(std::int64_t granted_ms);
 
+/// Returns the latest time (boot clock) at which a process may have started
+/// that gave its age, in ms, in an answer received at `answered_at`.
+Instant LatestProcessStart(Instant answered_at, std::int64_t age_ms);
+
 /// Times that limit the leases of a planner, in ms.
 struct LeaseLimits {
   /// As WorkerLinkSettings::lease_ms.
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -57,6 +57,8 @@
 struct PlannerTerm {
   /// Writer identity with which the term was claimed.
   WriterIdentity claim;
+  /// Boot clock: when the claim was sent.
+  Instant claimed_at;
   /// Boot clock: when the leases of earlier planners have certainly expired.
   Instant earlier_leases_end;
 };
@@ -102,10 +104,10 @@
                  this->planner.ApplyAdvice(request, granted, expires_at);
                  this->SchedulePass();
                }),
+        claimed_at(term.claimed_at),
+        stored_at(term.claimed_at),
         earlier_leases_end(term.earlier_leases_end) {
-    const Instant now = BootClock{}.Now();
-    this->stored_at = now;
-    this->began_at = now;
+    this->began_at = BootClock{}.Now();
     this->planner.SetUnknownWorkerDeadline(this->earlier_leases_end);
   }
 
@@ -319,6 +321,19 @@
         });
   }
 
+  // A process that has run since before the claim follows any later planner
+  // that reaches it. One that does not reach it waits for the leases of this
+  // planner.
+  bool OnProcessChanged(const InstanceId& agent, Instant started_by) {
+    if (started_by < this->claimed_at) {
+      return true;
+    }
+    this->unconfirmed[agent] = this->appends;
+    this->next_heartbeat_at = BootClock{}.Now();
+    this->SchedulePass();
+    return false;
+  }
+
   /// Tells the links whose agents had answered before the append was sent that
   /// no other planner had taken over by then.
   void ConfirmRole(std::uint64_t append) {
@@ -426,10 +441,8 @@
               this->unacknowledged.insert(agent);
               this->SchedulePass();
             },
-            [this](const InstanceId& agent) {
-              this->unconfirmed[agent] = this->appends;
-              this->next_heartbeat_at = BootClock{}.Now();
-              this->SchedulePass();
+            [this](const InstanceId& agent, Instant started_by) {
+              return this->OnProcessChanged(agent, started_by);
             },
             [this](std::uint64_t other) {
               this->task.Post([this, alive = this->alive, other] {
@@ -522,6 +535,8 @@
   std::map<InstanceId, std::uint64_t> unconfirmed;
   std::uint64_t committed = 0;
   std::uint64_t heartbeat = 0;
+  /// As in PlannerTerm.
+  Instant claimed_at;
   /// Boot clock. Send time of the last append that was stored.
   Instant stored_at;
   /// As in PlannerTerm.
--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -224,15 +224,15 @@
     Log(LogLevel::kInfo, "dependency regained",
         {{"dependency", "agent"}, {"agent", this->agent.value}});
   }
+  const Instant now = BootClock{}.Now();
   this->agent_incarnation = reply.agent_incarnation();
   this->seen_report = reply.report();
   const bool first = !std::exchange(this->has_reported, true);
   if (first || agent_restarted) {
     this->LogProcess(reply);
-    this->role_confirmed = false;
-    this->callbacks.on_process_changed(this->agent);
+    this->role_confirmed = this->callbacks.on_process_changed(
+        this->agent, LatestProcessStart(now, reply.process_age_ms()));
   }
-  const Instant now = BootClock{}.Now();
   // The agent read its clock before the reply was transmitted, so the offset is
   // never too large.
   this->clock_offset_ms = reply.agent_clock_ms() - now.ms;
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -48,9 +48,11 @@
   /// Called when the link has dropped its orders because the agent reports
   /// another incarnation of its worker.
   std::function<void(const InstanceId&)> on_orders_dropped;
-  /// Called when a process of the agent answers for the first time. It gets
-  /// neither orders nor leases until ConfirmRole().
-  std::function<void(const InstanceId&)> on_process_changed;
+  /// Called when a process of the agent answers for the first time, with the
+  /// latest time (boot clock) at which it may have started. Returns whether it
+  /// gets orders and leases at once; otherwise it gets none until
+  /// ConfirmRole().
+  std::function<bool(const InstanceId&, Instant started_by)> on_process_changed;
   /// Called when the agent follows a planner with a higher epoch.
   std::function<void(std::uint64_t epoch)> on_superseded;
 };
--- a/packages/worker_agent/report_channel.cc
+++ b/packages/worker_agent/report_channel.cc
@@ -86,6 +86,7 @@
   reply.set_accepted(true);
   reply.set_highest_epoch(this->epoch);
   reply.set_report(this->report);
+  reply.set_process_age_ms(BootClock{}.Now().ms - this->started_at.ms);
   return reply;
 }
 
--- a/packages/worker_agent/report_channel.h
+++ b/packages/worker_agent/report_channel.h
@@ -9,6 +9,7 @@
 
 #include "packages/core/ids.h"
 #include "packages/core/task.h"
+#include "packages/core/time.h"
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/worker_control.pb.h"
 
@@ -57,6 +58,8 @@
   Task& task;
   InstanceId agent;
   std::uint64_t incarnation;
+  /// Boot clock.
+  Instant started_at = BootClock{}.Now();
   ReportChannelCallbacks callbacks;
   /// Agent that the last rejected exchange was meant for, for the log.
   std::string rejected_agent;
--- a/tests/adapter/planner_takeover_test.cc
+++ b/tests/adapter/planner_takeover_test.cc
@@ -116,7 +116,9 @@
       this->unreachable.insert(agent.value);
     };
     callbacks.on_orders_dropped = [](const InstanceId&) {};
-    callbacks.on_process_changed = [](const InstanceId&) {};
+    callbacks.on_process_changed = [](const InstanceId&, Instant) {
+      return false;
+    };
     callbacks.on_superseded = [](std::uint64_t) {};
     std::unique_ptr<gateway::WorkerLink> made;
     this->task.Run([&, this] {
--- a/tests/gateway/planner_session_test.cc
+++ b/tests/gateway/planner_session_test.cc
@@ -37,6 +37,8 @@
   /// Highest epoch that this process of the agent has followed.
   std::uint64_t epoch = 0;
   std::uint64_t incarnation = 1;
+  /// Boot clock: when the agent's process started.
+  std::int64_t started_at_ms = 0;
   std::uint64_t report = 0;
   std::int64_t authority_until_ms = 0;
   /// Boot clock: first request with an order to start a task; 0 for none.
@@ -58,7 +60,8 @@
         successor_log(this->task, this->memory),
         planner_log(this->metrics) {
     this->task.Run([this] {
-      this->session = this->MakeSession(1, this->log, BootClock{}.Now());
+      this->session =
+          this->MakeSession(1, this->log, BootClock{}.Now(), BootClock{}.Now());
       this->session->SetAgent(InstanceId("w1"), "w1");
       this->session->Start();
     });
@@ -72,8 +75,8 @@
   }
 
   /// Cuts the planner off from the store, and lets another one take over that
-  /// knows both agents.
-  void TakeOver(bool resigned) {
+  /// knows both agents. Its claim was sent `claim_age_ms` ago.
+  void TakeOver(bool resigned, std::int64_t claim_age_ms = 0) {
     this->task.Run([&, this] {
       this->log.Reset();
       KeyedAppend claim;
@@ -85,8 +88,9 @@
           BootClock{}.Now().After(EarlierLeasesMs(
               {InstanceId("planner"), 1, 1, resigned, 0, {}, 0},
               InstanceId("successor"), {kLeaseMs, this->max_store_outage_ms}));
-      this->successor =
-          this->MakeSession(2, this->successor_log, earlier_leases_end);
+      this->successor = this->MakeSession(
+          2, this->successor_log, BootClock{}.Now().After(-claim_age_ms),
+          earlier_leases_end);
       for (const auto& [id, job] : this->session->Planner().Jobs()) {
         this->successor->Load(job);
       }
@@ -167,6 +171,7 @@
  private:
   std::unique_ptr<Session> MakeSession(std::uint64_t epoch,
                                        FaultyLog& planner_store,
+                                       Instant claimed_at,
                                        Instant earlier_leases_end) {
     PlannerSessionSettings settings;
     settings.max_store_outage_ms = this->max_store_outage_ms;
@@ -177,7 +182,7 @@
     settings.link.wait_ms = kAnswerDelayMs;
     return std::make_unique<Session>(
         this->task, planner_store, InstanceId("planner"), 0,
-        PlannerTerm{{epoch, 1}, earlier_leases_end}, settings,
+        PlannerTerm{{epoch, 1}, claimed_at, earlier_leases_end}, settings,
         PlannerPorts{
             [this](const std::string& address,
                    const rpc::ExchangeRequest& request, Instant deadline,
@@ -208,6 +213,7 @@
     reply.set_report(++agent.report);
     reply.set_agent_clock_ms(BootClock{}.Now().ms);
     reply.set_agent_incarnation(agent.incarnation);
+    reply.set_process_age_ms(BootClock{}.Now().ms - agent.started_at_ms);
     reply.mutable_worker()->set_id(name);
     reply.mutable_worker()->set_born_unix_ms(1);
     reply.set_availability(
@@ -335,6 +341,19 @@
   CHECK(restarted_at >= authority_until);
 }
 
+TEST_CASE("running work survives a store outage that follows a takeover") {
+  // Guards against leases that lapse while the store is away for less than
+  // max_store_outage_ms.
+  SessionFixture fixture;
+  fixture.StartTask();
+  fixture.task.Run(
+      [&] { fixture.successor_log.failure = KeyedLogFailure::kRefused; });
+  fixture.TakeOver(/*resigned=*/false);
+  g_usleep(1'000 * static_cast<gulong>(2 * kLeaseMs));
+  CHECK(fixture.At("w1").epoch == 2);
+  CHECK(fixture.At("w1").authority_until_ms > BootClock{}.Now().ms);
+}
+
 TEST_CASE("a restarted agent gets no lease from a planner that was replaced") {
   // Guards against two runs of a task: its agent forgets the planner in office
   // when it restarts, and follows an earlier one that is cut off.
@@ -350,6 +369,7 @@
     ScriptedAgent& agent = fixture.agents["w1"];
     agent.epoch = 0;
     agent.incarnation = 2;
+    agent.started_at_ms = BootClock{}.Now().ms;
     agent.unreachable_below_epoch = 0;
     agent.unreachable_from_epoch = 2;
   });
@@ -365,7 +385,7 @@
   fixture.StartTask();
   fixture.task.Run(
       [&] { fixture.successor_log.failure = KeyedLogFailure::kNoAnswer; });
-  fixture.TakeOver(/*resigned=*/false);
+  fixture.TakeOver(/*resigned=*/false, fixture.max_store_outage_ms);
   REQUIRE(fixture.WaitFor([&] { return fixture.At("w1").epoch == 2; }));
   const std::int64_t before = fixture.At("w1").authority_until_ms;
   g_usleep(1'000 * static_cast<gulong>(2 * kAnswerDelayMs));
--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -27,7 +27,9 @@
       this->lease_expires_at = lease_expires_at;
     };
     callbacks.on_orders_dropped = [](const InstanceId&) {};
-    callbacks.on_process_changed = [](const InstanceId&) {};
+    callbacks.on_process_changed = [](const InstanceId&, Instant) {
+      return false;
+    };
     this->task.Run([&] {
       this->link = std::make_unique<WorkerLink>(
           this->task, InstanceId("a"), "a", 1, this->settings,
@@ -135,7 +137,9 @@
   WorkerLinkCallbacks callbacks;
   callbacks.on_report = [](const InstanceId&, const rpc::ExchangeReply&,
                            Instant) {};
-  callbacks.on_process_changed = [](const InstanceId&) {};
+  callbacks.on_process_changed = [](const InstanceId&, Instant) {
+    return false;
+  };
   task.Run([&] {
     link = std::make_unique<WorkerLink>(
         task, InstanceId("a"), "a", 1, WorkerLinkSettings{},
