soak: stop all clients at once

A client slept its whole pause before it stopped, one after the other, so on the small site a run went on for over 200 s and new jobs kept coming. Clients now notice the request to stop within 50 ms.

--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -30,8 +30,12 @@
   this->Stop();
 }
 
-void Client::Stop() {
+void Client::RequestStop() {
   this->stopping = true;
+}
+
+void Client::Stop() {
+  this->RequestStop();
   if (this->thread.joinable()) {
     this->thread.join();
   }
@@ -53,13 +57,21 @@
         this->Query(this->AnyGateway(), job);
       }
     }
-    standin::SleepMs(
+    this->Pause(
         this->pause_ms / 2 +
         static_cast<std::int64_t>(this->random() %
                                   static_cast<std::uint64_t>(this->pause_ms)));
   }
 }
 
+void Client::Pause(std::int64_t ms) {
+  constexpr std::int64_t kSliceMs = 50;
+  const std::int64_t until = standin::NowMs() + ms;
+  while (!this->stopping && standin::NowMs() < until) {
+    standin::SleepMs(kSliceMs);
+  }
+}
+
 void Client::Submit() {
   const JobEntry job = this->book.Create(this->random);
   this->jobs.push_back(job);
@@ -74,7 +86,7 @@
     if (status >= 200 && status < 300) {
       return;
     }
-    standin::SleepMs(kRetryMs);
+    this->Pause(kRetryMs);
   }
 }
 
--- a/tests/soak/client.h
+++ b/tests/soak/client.h
@@ -25,7 +25,10 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Ends the submissions, and waits until the thread has ended.
+  /// Ends the calls without waiting.
+  void RequestStop();
+
+  /// Ends the calls, and waits until the thread has ended.
   void Stop();
 
   /// Asks a gateway for the state of a job; returns the state or the status.
@@ -33,6 +36,8 @@
 
  private:
   void Run();
+  /// Sleeps until the time has passed or the client stops.
+  void Pause(std::int64_t ms);
   void Submit();
   /// Sends the POST until an answer is definite or the attempts are used up.
   void Post(const JobEntry& job);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -154,6 +154,9 @@
   series.Wait(kWarmUpMs);
   series.Play(options.seconds * 1'000);
   series.Wait(kLateOrdersMs);
+  for (const auto& client : clients) {
+    client->RequestStop();
+  }
   for (const auto& client : clients) {
     client->Stop();
   }
