--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -153,10 +153,10 @@
   FaultSeries series(site, options);
   series.Wait(kWarmUpMs);
   series.Play(options.seconds * 1'000);
-  series.Wait(kLateOrdersMs);
   for (const auto& client : clients) {
     client->RequestStop();
   }
+  series.Wait(kLateOrdersMs);
   for (const auto& client : clients) {
     client->Stop();
   }
