--- a/tests/gateway/worker_link_test.cc
+++ b/tests/gateway/worker_link_test.cc
@@ -22,8 +22,10 @@
  public:
   LinkFixture() : task("test") {
     WorkerLinkCallbacks callbacks;
-    callbacks.on_report = [this](const InstanceId&, const rpc::ExchangeReply&,
+    callbacks.on_report = [this](const InstanceId&,
+                                 const rpc::ExchangeReply& reply,
                                  Instant lease_expires_at) {
+      this->reported_worker = reply.worker().id();
       this->lease_expires_at = lease_expires_at;
     };
     callbacks.on_orders_dropped = [](const InstanceId&) {};
@@ -66,6 +68,7 @@
   rpc::ExchangeRequest request;
   rpc::RpcCallback<rpc::ExchangeReply> callback;
   Instant lease_expires_at;
+  std::string reported_worker;
 };
 
 TEST_CASE("a restarted agent is granted no lease before it knows its worker") {
@@ -128,6 +131,25 @@
   CHECK(fixture.request.worker().id().empty());
 }
 
+TEST_CASE(
+    "covers.agent_process: a late answer of an earlier process is ignored") {
+  // Guards against runs that are given up because of an outdated report.
+  LinkFixture fixture;
+  fixture.Report("w1", 1);
+  const auto late = fixture.callback;
+  fixture.task.Run([&] { fixture.link->SetOrders({}, 1); });
+  fixture.Report("w2", 2);
+  fixture.task.Run([&] {
+    rpc::RpcResult<rpc::ExchangeReply> reply;
+    reply.value.set_accepted(true);
+    reply.value.set_agent_incarnation(1);
+    reply.value.mutable_worker()->set_id("w1");
+    reply.value.set_agent_clock_ms(BootClock{}.Now().ms);
+    late(reply);
+  });
+  CHECK(fixture.reported_worker == "w2");
+}
+
 TEST_CASE("an order carries what the run takes of the worker's capacity") {
   // Guards against an agent that cannot check a capacity that has shrunk.
   Task task("test");
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -60,6 +60,20 @@
   CHECK(table.Ends()[0].end == workload::RunEnd::kRefused);
 }
 
+TEST_CASE(
+    "covers.unlisted_run: a started run that the worker does not list ends") {
+  // Guards against a run that stays assigned for good, its end being forgotten.
+  RunTable table({});
+  table.SetDesired({MakeDesired(/*stop=*/false, /*started=*/true)}, Instant{0});
+  for (std::int64_t now = 10; now < 60'000; now += 500) {
+    table.OnLists(MakeReply(false), Instant{now}, Instant{now + 1});
+    if (!table.TakeDue(Instant{now + 2}).stops.empty()) {
+      table.OnStop(kRun, OrderResult::kDone, Instant{now + 3});
+    }
+  }
+  CHECK(table.Ends().size() == 1);
+}
+
 DesiredRun MakeDemanding(std::uint32_t index, std::int64_t accelerators) {
   DesiredRun run = MakeDesired();
   run.task.index = index;
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -48,6 +48,23 @@
   CHECK(PhaseOf(fixture.planner) == JobPhase::kFailed);
 }
 
+TEST_CASE(
+    "covers.restarted_worker: a run that a restarted worker lists is not "
+    "started elsewhere") {
+  // Guards against a late start that a new process of the worker carries out.
+  PlannerFixture fixture(2);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  fixture.Plan();
+  const TaskState before = fixture.ActiveTasks().at(kTask);
+  const InstanceId agent = before.worker.agent;
+  fixture.ReportWorker(
+      agent == InstanceId(PlannerFixture::WorkerName(0)) ? 0 : 1, 2);
+  fixture.planner.UpdateRunning(agent, {{kTask, before.run, 10, "", 0}},
+                                fixture.now);
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().at(kTask).run == before.run);
+}
+
 TEST_CASE("a new planner continues the count of crashed workers") {
   // Guards against a task that is started anew after each change of planner.
   PlannerFixture first(2);
