--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+. "$(dirname "$0")/../standin-2/run-case.sh"
