--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -19,7 +19,10 @@
 constexpr std::int64_t kNothingRunsMs = 3'000;
 
 Json Step(std::int64_t estimate_ms) {
-  return {{"count", 1}, {"cpu", 1'000}, {"mem_mb", 1'000}, {"estimate_ms", estimate_ms}};
+  return {{"count", 1},
+          {"cpu", 1'000},
+          {"mem_mb", 1'000},
+          {"estimate_ms", estimate_ms}};
 }
 
 }  // namespace
@@ -33,10 +36,13 @@
     return task.starts_with(small) ? 2'000 : kLongMs;
   });
   site.store->Put("keyed.op", "config",
-                  Config(1, {{"plain", 1, 3}}, {{"tenant-a", "key-a", 0}, {"tenant-b", "key-b", 0}}).dump());
+                  Config(1, {{"plain", 1, 3}},
+                         {{"tenant-a", "key-a", 0}, {"tenant-b", "key-b", 0}})
+                      .dump());
   site.Start();
   for (int i = 0; i < kJobs; ++i) {
-    if (!site.Submit("/plain/" + JobId(static_cast<std::uint64_t>(i)), "key-a", {{"task_spec", "long"}, {"steps", {Step(kLongMs)}}})) {
+    if (!site.Submit("/plain/" + JobId(static_cast<std::uint64_t>(i)), "key-a",
+                     {{"task_spec", "long"}, {"steps", {Step(kLongMs)}}})) {
       return 2;
     }
   }
@@ -55,7 +61,8 @@
     for (std::size_t i = 0; i < kRunners; ++i) {
       tasks[i / kPerRack] += site.runners[i]->Running().size();
     }
-    const std::size_t rack = static_cast<std::size_t>(std::ranges::max_element(tasks) - tasks.begin());
+    const std::size_t rack = static_cast<std::size_t>(
+        std::ranges::max_element(tasks) - tasks.begin());
     record.Line("rack %zu loses power with %zu tasks", rack, tasks[rack]);
     for (std::size_t i = rack * kPerRack; i < (rack + 1) * kPerRack; ++i) {
       site.runners[i]->Crash();
@@ -68,12 +75,14 @@
   }
   SleepMs(kSettleMs);
   list();
-  if (!site.Submit("/plain/" + small, "key-b", {{"task_spec", "small"}, {"steps", {Step(2'000)}}})) {
+  if (!site.Submit("/plain/" + small, "key-b",
+                   {{"task_spec", "small"}, {"steps", {Step(2'000)}}})) {
     return 2;
   }
   const std::int64_t accepted = NowMs();
   std::string state;
-  while (state != "completed" && NowMs() < accepted + kFinishMs + kNothingRunsMs) {
+  while (state != "completed" &&
+         NowMs() < accepted + kFinishMs + kNothingRunsMs) {
     SleepMs(500);
     state = site.State("/plain/" + small, "key-b", 1);
   }
@@ -83,7 +92,10 @@
   }
   list();
   const bool held = state == "completed";
-  record.Line("the small job is shown as %s after %ld ms, while %zu of %d cores are in use; %s", state.c_str(),
-              static_cast<long>(NowMs() - accepted), used, 32 * kRunners, held ? "LOST held" : "LOST broken");
+  record.Line(
+      "the small job is shown as %s after %ld ms, while %zu of %d cores are in "
+      "use; %s",
+      state.c_str(), static_cast<long>(NowMs() - accepted), used, 32 * kRunners,
+      held ? "LOST held" : "LOST broken");
   return held ? 0 : 1;
 }
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -53,13 +53,15 @@
       .count();
 }
 inline void SleepMs(std::int64_t ms) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(ms, 0)));
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::max<std::int64_t>(ms, 0)));
 }
 
 /// What was sent, answered and run, with the time since the start in seconds.
 class Record {
  public:
-  explicit Record(const std::string& path) : file(std::fopen(path.c_str(), "w")) {
+  explicit Record(const std::string& path)
+      : file(std::fopen(path.c_str(), "w")) {
     if (this->file == nullptr) {
       std::perror(path.c_str());
       std::exit(2);
@@ -87,7 +89,9 @@
 struct Address {
   std::string ip;
   std::uint16_t port = 0;
-  std::string Text() const { return this->ip + ":" + std::to_string(this->port); }
+  std::string Text() const {
+    return this->ip + ":" + std::to_string(this->port);
+  }
   sockaddr_in Socket() const {
     sockaddr_in result{};
     result.sin_family = AF_INET;
@@ -133,14 +137,15 @@
     message.start = head.substr(0, at);
     while (at != std::string::npos) {
       const std::size_t next = head.find("\r\n", at + 2);
-      const std::string line = head.substr(
-          at + 2, next == std::string::npos ? next : next - at - 2);
+      const std::string line =
+          head.substr(at + 2, next == std::string::npos ? next : next - at - 2);
       const std::size_t colon = line.find(':');
       if (colon != std::string::npos) {
         std::string name = line.substr(0, colon);
         std::ranges::transform(name, name.begin(), ::tolower);
         const std::size_t value = line.find_first_not_of(' ', colon + 1);
-        message.headers[name] = value == std::string::npos ? "" : line.substr(value);
+        message.headers[name] =
+            value == std::string::npos ? "" : line.substr(value);
       }
       at = next;
     }
@@ -202,7 +207,8 @@
     const int on = 1;
     setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in name = address.Socket();
-    if (bind(this->listener, reinterpret_cast<sockaddr*>(&name), sizeof(name)) != 0 ||
+    if (bind(this->listener, reinterpret_cast<sockaddr*>(&name),
+             sizeof(name)) != 0 ||
         listen(this->listener, 1024) != 0) {
       std::perror(("listen " + address.Text()).c_str());
       std::exit(2);
@@ -273,9 +279,10 @@
         return;
       }
       const std::string text =
-          "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Type: " +
-          response.type + "\r\nContent-Length: " +
-          std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+          "HTTP/1.1 " + std::to_string(response.status) +
+          " X\r\nContent-Type: " + response.type +
+          "\r\nContent-Length: " + std::to_string(response.body.size()) +
+          "\r\n\r\n" + response.body;
       if (!SendAll(fd, text.data(), text.size())) {
         return;
       }
@@ -292,7 +299,8 @@
         std::string value;
         for (std::size_t i = sign + 1; i < pair.size(); ++i) {
           if (pair[i] == '%' && i + 2 < pair.size()) {
-            value += static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16));
+            value += static_cast<char>(
+                std::stoi(pair.substr(i + 1, 2), nullptr, 16));
             i += 2;
           } else {
             value += pair[i];
@@ -365,7 +373,8 @@
     const int on = 1;
     setsockopt(this->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const sockaddr_in name = this->server.Socket();
-    if (connect(this->fd, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
+    if (connect(this->fd, reinterpret_cast<const sockaddr*>(&name),
+                sizeof(name)) != 0) {
       this->Close();
       return false;
     }
@@ -397,7 +406,8 @@
     const int on = 1;
     setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in name = this->address.Socket();
-    if (bind(this->listener, reinterpret_cast<sockaddr*>(&name), sizeof(name)) != 0 ||
+    if (bind(this->listener, reinterpret_cast<sockaddr*>(&name),
+             sizeof(name)) != 0 ||
         ::listen(this->listener, 1024) != 0) {
       std::perror("proxy");
       std::exit(2);
@@ -421,7 +431,8 @@
   int Open() {
     const Lock lock(this->mutex);
     return static_cast<int>(std::ranges::count_if(
-        this->links, [](const auto& link) { return link->open && !link->silent; }));
+        this->links,
+        [](const auto& link) { return link->open && !link->silent; }));
   }
 
  private:
@@ -433,13 +444,15 @@
   };
   void Accept() {
     while (true) {
-      const int client = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+      const int client =
+          accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (client < 0) {
         continue;
       }
       const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       const sockaddr_in name = this->target.Socket();
-      if (connect(server, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
+      if (connect(server, reinterpret_cast<const sockaddr*>(&name),
+                  sizeof(name)) != 0) {
         close(server);
         close(client);
         continue;
@@ -500,9 +513,9 @@
 /// The platform's metadata store: keyed topics of one partition.
 class Store {
  public:
-  explicit Store(Address listen) : address(std::move(listen)), server([this](const Request& r) {
-    return this->Handle(r);
-  }) {
+  explicit Store(Address listen)
+      : address(std::move(listen)),
+        server([this](const Request& r) { return this->Handle(r); }) {
     this->server.Listen(this->address);
   }
   const Address& Listen() const { return this->address; }
@@ -522,7 +535,9 @@
   std::atomic<int> refused_long = 0;
   std::atomic<std::size_t> longest_record = 0;
   /// What the operator writes.
-  void Put(const std::string& topic, const std::string& key, const std::string& value) {
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value) {
     const Lock lock(this->mutex);
     this->Add(this->topics[topic], key, value);
     this->changed.notify_all();
@@ -557,12 +572,15 @@
       topic.newest[key] = {offset, value};
     }
     while (topic.bytes > kPartBytes && topic.records.size() > 1) {
-      topic.bytes -= topic.records.front().key.size() + topic.records.front().value.size();
+      topic.bytes -=
+          topic.records.front().key.size() + topic.records.front().value.size();
       topic.records.pop_front();
       ++topic.first;
     }
   }
-  static std::uint64_t Number(const Request& request, const char* name, std::uint64_t other = 0) {
+  static std::uint64_t Number(const Request& request,
+                              const char* name,
+                              std::uint64_t other = 0) {
     const auto found = request.query.find(name);
     return found == request.query.end() ? other : std::stoull(found->second);
   }
@@ -573,10 +591,13 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
       std::uint32_t group = 0;
       for (std::size_t j = 0; j < 3; ++j) {
-        group = group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+        group = group << 8 |
+                (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j])
+                                      : 0U);
       }
       for (std::size_t j = 0; j < 4; ++j) {
-        text += i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=';
+        text +=
+            i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=';
       }
     }
     return text;
@@ -626,7 +647,8 @@
       if (key + 1 > size) {
         return {400, "{}"};
       }
-      added.push_back({body.substr(at + 1, key), body.substr(at + 1 + key, size - 1 - key)});
+      added.push_back({body.substr(at + 1, key),
+                       body.substr(at + 1 + key, size - 1 - key)});
       at += size;
     }
     this->longest_record = std::max<std::size_t>(this->longest_record, longest);
@@ -655,7 +677,8 @@
           }
         }
         if (sequence != producer->next) {
-          return {409, Json{{"reason", "seq"}, {"expected", producer->next}}.dump()};
+          return {409,
+                  Json{{"reason", "seq"}, {"expected", producer->next}}.dump()};
         }
       }
     }
@@ -666,7 +689,8 @@
     for (const Stored& record : added) {
       this->Add(topic, record.key, record.value);
     }
-    const Response response{200, Json{{"offset", offset}, {"end", topic.End()}}.dump()};
+    const Response response{
+        200, Json{{"offset", offset}, {"end", topic.End()}}.dump()};
     if (producer != nullptr) {
       if (epoch > producer->epoch) {
         producer->last.clear();
@@ -719,10 +743,12 @@
     Json items = Json::array();
     std::size_t bytes = 0;
     bool more = false;
-    for (auto at = after == request.query.end() ? topic.newest.begin()
-                                                : topic.newest.upper_bound(after->second);
+    for (auto at = after == request.query.end()
+                       ? topic.newest.begin()
+                       : topic.newest.upper_bound(after->second);
          at != topic.newest.end(); ++at) {
-      if (items.size() >= 500 || (bytes > 0 && bytes + at->second.second.size() > 1'000'000)) {
+      if (items.size() >= 500 ||
+          (bytes > 0 && bytes + at->second.second.size() > 1'000'000)) {
         more = true;
         break;
       }
@@ -731,7 +757,9 @@
                        {"value", Base64(at->second.second)},
                        {"offset", at->second.first}});
     }
-    return {200, Json{{"items", items}, {"more", more}, {"end", topic.End()}}.dump()};
+    return {
+        200,
+        Json{{"items", items}, {"more", more}, {"end", topic.End()}}.dump()};
   }
 
   Address address;
@@ -771,7 +799,11 @@
     std::string how;
   };
 
-  Runner(Settings settings, Address listen, Address control, Record& record, WorkOf work_of)
+  Runner(Settings settings,
+         Address listen,
+         Address control,
+         Record& record,
+         WorkOf work_of)
       : settings(std::move(settings)),
         address(std::move(listen)),
         control(std::move(control)),
@@ -799,7 +831,8 @@
     {
       const Lock lock(this->mutex);
       this->up = false;
-      this->record.Line("runner %s (%s) crashes", this->settings.name.c_str(), this->id.c_str());
+      this->record.Line("runner %s (%s) crashes", this->settings.name.c_str(),
+                        this->id.c_str());
       while (!this->tasks.empty()) {
         this->End(this->tasks.begin(), "lost with the runner");
       }
@@ -812,7 +845,8 @@
   void GoDark() {
     const Lock lock(this->mutex);
     this->dark = true;
-    this->record.Line("runner %s (%s) goes dark for good", this->settings.name.c_str(), this->id.c_str());
+    this->record.Line("runner %s (%s) goes dark for good",
+                      this->settings.name.c_str(), this->id.c_str());
     this->up = false;
     while (!this->tasks.empty()) {
       this->End(this->tasks.begin(), "lost with the runner");
@@ -827,14 +861,16 @@
     this->id = known;
     this->dark = false;
     this->beat_at = NowMs() + 300;
-    this->record.Line("runner %s starts again under its id", this->settings.name.c_str());
+    this->record.Line("runner %s starts again under its id",
+                      this->settings.name.c_str());
   }
   std::function<void()> on_start;
   void Restart() {
     {
       const Lock lock(this->mutex);
       this->BeginLife();
-      this->record.Line("runner %s starts again as %s", this->settings.name.c_str(), this->id.c_str());
+      this->record.Line("runner %s starts again as %s",
+                        this->settings.name.c_str(), this->id.c_str());
     }
     this->server.Listen(this->address);
   }
@@ -890,8 +926,9 @@
     this->ends.push_back({++this->last_end, name, work.run, how});
     this->history.push_back({name, work.run, work.began_ms, NowMs(), how});
     if (this->verbose) {
-      this->record.Line("runner %s: task %s run %ld ends %s after %ld ms", this->settings.name.c_str(),
-                        name.c_str(), static_cast<long>(work.run), how.c_str(),
+      this->record.Line("runner %s: task %s run %ld ends %s after %ld ms",
+                        this->settings.name.c_str(), name.c_str(),
+                        static_cast<long>(work.run), how.c_str(),
                         static_cast<long>(NowMs() - work.began_ms));
     }
   }
@@ -902,14 +939,15 @@
       const std::int64_t now = NowMs();
       const bool lapsed = !this->tasks.empty() && this->Clock() >= this->until;
       if (lapsed) {
-        this->record.Line("runner %s: the lease ends, %zu tasks lapse", this->settings.name.c_str(),
-                          this->tasks.size());
+        this->record.Line("runner %s: the lease ends, %zu tasks lapse",
+                          this->settings.name.c_str(), this->tasks.size());
       }
       bool any = false;
       for (auto at = this->tasks.begin(); at != this->tasks.end();) {
         const auto task = at++;
         const Work& work = task->second;
-        const bool done = work.length_ms >= 0 && now >= work.began_ms + work.length_ms;
+        const bool done =
+            work.length_ms >= 0 && now >= work.began_ms + work.length_ms;
         const bool stopped = work.stops_at_ms > 0 && now >= work.stops_at_ms;
         if (lapsed || done || stopped) {
           this->End(task, done ? "done" : lapsed ? "lapsed" : "stopped");
@@ -944,20 +982,27 @@
                 {"slots", 8},
                 {"state", "ready"},
                 {"cold_left_ms", 0},
-                {"capacity", {{"cpu", this->settings.cpu}, {"mem_mb", this->settings.mem_mb}, {"gpu", this->settings.gpu}}},
+                {"capacity",
+                 {{"cpu", this->settings.cpu},
+                  {"mem_mb", this->settings.mem_mb},
+                  {"gpu", this->settings.gpu}}},
                 {"labels", {"a", this->settings.rack}},
                 {"clock_ms", this->Clock()},
                 {"born", this->born},
                 {"seq", ++this->sequence}};
       }
-      const Response answer = Call(this->control, "PUT", path, {}, body.dump(), 1'000);
-      next = NowMs() + (answer.status == 200 ? this->settings.heartbeat_ms : 300);
+      const Response answer =
+          Call(this->control, "PUT", path, {}, body.dump(), 1'000);
+      next =
+          NowMs() + (answer.status == 200 ? this->settings.heartbeat_ms : 300);
     }
   }
 
   static std::int64_t Integer(const Json& body, const char* name) {
     const auto found = body.find(name);
-    return found != body.end() && found->is_number() ? found->get<std::int64_t>() : 0;
+    return found != body.end() && found->is_number()
+               ? found->get<std::int64_t>()
+               : 0;
   }
   Response Answer(int status, Json body = Json::object()) const {
     body["clock_ms"] = this->Clock();
@@ -996,7 +1041,8 @@
       const std::int64_t run = Integer(body, "run");
       this->closed[task] = std::max(this->closed[task], run);
       const auto known = this->tasks.find(task);
-      if (known != this->tasks.end() && known->second.run <= run && known->second.stops_at_ms == 0) {
+      if (known != this->tasks.end() && known->second.run <= run &&
+          known->second.stops_at_ms == 0) {
         known->second.stops_at_ms = NowMs() + this->settings.stop_ms / 2;
       }
       return this->Answer(200);
@@ -1007,8 +1053,9 @@
     return request.path == "/hold" ? this->Hold(lock, body) : this->Answer(404);
   }
   void Extend(const Json& body) {
-    this->until = std::max(this->until, std::min(Integer(body, "until_ms"),
-                                                 this->Clock() + this->settings.hold_max_ms));
+    this->until = std::max(
+        this->until, std::min(Integer(body, "until_ms"),
+                              this->Clock() + this->settings.hold_max_ms));
   }
   Response Start(const Json& body) {
     const std::string task = body.value("task", "");
@@ -1022,26 +1069,33 @@
       return this->Answer(200);
     }
     const auto closed = this->closed.find(task);
-    if ((closed != this->closed.end() && run <= closed->second) || known != this->tasks.end()) {
+    if ((closed != this->closed.end() && run <= closed->second) ||
+        known != this->tasks.end()) {
       return this->Answer(409, {{"reason", "old"}});
     }
     this->tasks[task] = {run, NowMs(), this->work_of(task), 0};
-    if (this->on_start) this->on_start();
+    if (this->on_start)
+      this->on_start();
     if (this->verbose) {
-      this->record.Line("runner %s: task %s run %ld starts", this->settings.name.c_str(), task.c_str(),
+      this->record.Line("runner %s: task %s run %ld starts",
+                        this->settings.name.c_str(), task.c_str(),
                         static_cast<long>(run));
     }
     return this->Answer(200);
   }
   Response Hold(Lock& lock, const Json& body) {
     const std::int64_t seen = Integer(body, "last_seen");
-    std::erase_if(this->ends, [&](const EndRow& end) { return end.number <= seen; });
+    std::erase_if(this->ends,
+                  [&](const EndRow& end) { return end.number <= seen; });
     this->Extend(body);
     const std::string life = this->id;
     const std::int64_t life_at = this->born;
     const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(std::min<std::int64_t>(Integer(body, "wait_ms"), 2'000));
-    this->changed.wait_until(lock, until, [&] { return !this->ends.empty() || this->id != life || !this->up; });
+                       std::chrono::milliseconds(std::min<std::int64_t>(
+                           Integer(body, "wait_ms"), 2'000));
+    this->changed.wait_until(lock, until, [&] {
+      return !this->ends.empty() || this->id != life || !this->up;
+    });
     while (this->dark && !this->ending) {
       lock.unlock();
       SleepMs(20);
@@ -1054,8 +1108,11 @@
     const std::int64_t now = NowMs();
     for (const auto& [task, work] : this->tasks) {
       const std::int64_t percent =
-          work.length_ms < 0 ? (now >= work.began_ms + this->settings.startup_ms ? 100 : 50)
-                             : std::min<std::int64_t>(99, (now - work.began_ms) * 100 / std::max<std::int64_t>(work.length_ms, 1));
+          work.length_ms < 0
+              ? (now >= work.began_ms + this->settings.startup_ms ? 100 : 50)
+              : std::min<std::int64_t>(
+                    99, (now - work.began_ms) * 100 /
+                            std::max<std::int64_t>(work.length_ms, 1));
       running.push_back({task, work.run, "", percent, 0});
     }
     Json ended = Json::array();
@@ -1064,7 +1121,9 @@
         ended.push_back({end.number, end.task, end.run, end.how, ""});
       }
     }
-    return this->Answer(200, {{"running_tasks", running}, {"ended_tasks", ended}, {"born", this->born}});
+    return this->Answer(200, {{"running_tasks", running},
+                              {"ended_tasks", ended},
+                              {"born", this->born}});
   }
 
   Settings settings;
@@ -1097,9 +1156,16 @@
 /// A program under test, started with the command of the deploy file.
 class Child {
  public:
-  Child(std::string name, std::string program, std::string settings, std::string log, Record& record)
-      : name(std::move(name)), program(std::move(program)), settings(std::move(settings)),
-        log(std::move(log)), record(record) {}
+  Child(std::string name,
+        std::string program,
+        std::string settings,
+        std::string log,
+        Record& record)
+      : name(std::move(name)),
+        program(std::move(program)),
+        settings(std::move(settings)),
+        log(std::move(log)),
+        record(record) {}
   ~Child() { this->Kill(); }
   void Start() {
     const pid_t parent = getpid();
@@ -1113,11 +1179,12 @@
       if (getppid() != parent) {
         _exit(127);
       }
-      const int output = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+      const int output = open(this->log.c_str(),
+                              O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
       dup2(output, STDOUT_FILENO);
       dup2(output, STDERR_FILENO);
-      execl(this->program.c_str(), this->program.c_str(), "--settings", this->settings.c_str(),
-            static_cast<char*>(nullptr));
+      execl(this->program.c_str(), this->program.c_str(), "--settings",
+            this->settings.c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
     this->pid = child;
@@ -1143,7 +1210,8 @@
       return std::nullopt;
     }
     this->pid = -1;
-    this->record.Line("%s has ended, wait status %d", this->name.c_str(), status);
+    this->record.Line("%s has ended, wait status %d", this->name.c_str(),
+                      status);
     return status;
   }
   /// Resident memory in MB; 0 if it does not run.
@@ -1186,7 +1254,8 @@
     /// Places a proxy between each agent and its runner.
     bool runner_proxies = false;
   };
-  Site(const Options& options, Record& record, Runner::WorkOf work_of) : record(record) {
+  Site(const Options& options, Record& record, Runner::WorkOf work_of)
+      : record(record) {
     const char* folder = std::getenv("CASE_FOLDER");
     const char* program = std::getenv("CASE_PROGRAM");
     if (folder == nullptr || program == nullptr) {
@@ -1195,7 +1264,8 @@
     }
     this->folder = folder;
     this->program = program;
-    this->net = "127." + std::to_string(60 + getpid() % 150) + "." + std::to_string(getpid() / 150 % 250) + ".";
+    this->net = "127." + std::to_string(60 + getpid() % 150) + "." +
+                std::to_string(getpid() / 150 % 250) + ".";
     this->store = std::make_unique<Store>(Address{this->net + "1", 8'524});
     for (int i = 0; i < options.gateways; ++i) {
       this->AddGateway(i, options);
@@ -1236,26 +1306,37 @@
     std::int64_t age_ms = 0;
   };
   /// One call of a client; each try is written into the record.
-  Answer Ask(int gateway, const std::string& method, const std::string& path, const std::string& key,
-             const Json& body = {}, bool quiet = false) {
+  Answer Ask(int gateway,
+             const std::string& method,
+             const std::string& path,
+             const std::string& key,
+             const Json& body = {},
+             bool quiet = false) {
     constexpr std::int64_t kDeadlineMs = 3'000;
     const std::int64_t sent = NowMs();
     const Response response =
         Call(this->fronts[static_cast<std::size_t>(gateway)], method, path,
-             {{"Host", "host.example"}, {"Authorization", "Bearer " + key}, {"Deadline-Ms", std::to_string(kDeadlineMs)}},
+             {{"Host", "host.example"},
+              {"Authorization", "Bearer " + key},
+              {"Deadline-Ms", std::to_string(kDeadlineMs)}},
              body.is_null() ? "" : body.dump(), kDeadlineMs);
     if (!quiet) {
       std::string text = response.body.substr(0, 100);
-      this->record.Line("client: %s %s at gateway %d -> %d %s (%ld ms)", method.c_str(), path.c_str(), gateway,
-                        response.status, text.c_str(), static_cast<long>(NowMs() - sent));
-    }
-    return {response.status, Json::parse(response.body, nullptr, false), NowMs() - sent};
-  }
-  /// Submits a job, again while there is no final answer. Returns whether it was
-  /// accepted.
-  bool Submit(const std::string& path, const std::string& key, const Json& job) {
+      this->record.Line("client: %s %s at gateway %d -> %d %s (%ld ms)",
+                        method.c_str(), path.c_str(), gateway, response.status,
+                        text.c_str(), static_cast<long>(NowMs() - sent));
+    }
+    return {response.status, Json::parse(response.body, nullptr, false),
+            NowMs() - sent};
+  }
+  /// Submits a job, again while there is no final answer. Returns whether it
+  /// was accepted.
+  bool Submit(const std::string& path,
+              const std::string& key,
+              const Json& job) {
     for (int i = 0; i < 40; ++i) {
-      const Answer answer = this->Ask(i % static_cast<int>(this->fronts.size()), "POST", path, key, job);
+      const Answer answer = this->Ask(i % static_cast<int>(this->fronts.size()),
+                                      "POST", path, key, job);
       if (answer.status / 100 == 2) {
         return true;
       }
@@ -1263,7 +1344,10 @@
     }
     return false;
   }
-  std::string State(const std::string& path, const std::string& key, int gateway, bool quiet = false) {
+  std::string State(const std::string& path,
+                    const std::string& key,
+                    int gateway,
+                    bool quiet = false) {
     const Answer answer = this->Ask(gateway, "GET", path, key, {}, quiet);
     if (answer.status != 200 || !answer.body.is_object()) {
       return std::to_string(answer.status);
@@ -1282,13 +1366,16 @@
   std::vector<std::unique_ptr<Proxy>> runner_proxies;
 
  private:
-  static std::string Zone(int number) { return "zone-" + std::to_string(number % 3); }
+  static std::string Zone(int number) {
+    return "zone-" + std::to_string(number % 3);
+  }
 
   void AddChild(const std::string& name, const Json& settings) {
     const std::string path = this->folder + "/" + name + ".json";
     std::ofstream(path) << settings.dump(2);
-    this->children.push_back(
-        std::make_unique<Child>(name, this->program, path, this->folder + "/" + name + ".log", this->record));
+    this->children.push_back(std::make_unique<Child>(
+        name, this->program, path, this->folder + "/" + name + ".log",
+        this->record));
   }
   Json Instance(const std::string& name, const std::string& ip, int number) {
     return {{"id", name},
@@ -1301,7 +1388,8 @@
     if (!proxied) {
       return this->store->Listen().Text();
     }
-    this->store_proxies.push_back(std::make_unique<Proxy>(Address{ip, 8'600}, this->store->Listen()));
+    this->store_proxies.push_back(
+        std::make_unique<Proxy>(Address{ip, 8'600}, this->store->Listen()));
     return this->store_proxies.back()->Listen().Text();
   }
   void AddGateway(int number, const Options& options) {
@@ -1311,18 +1399,21 @@
     instance["processor_share"] = 0.25;
     this->fronts.push_back({ip, 8'521});
     this->ready.push_back({ip, 8'523});
-    this->AddChild(name, {{"role", "gateway"},
-                          {"instance", instance},
-                          {"gateway",
-                           {{"front", this->fronts.back().Text()},
-                            {"ready", this->ready.back().Text()},
-                            {"store", this->StoreFor(ip, options.store_proxies)},
-                            {"task_stop_ms", options.runner.stop_ms},
-                            {"task_lease_limit_ms", options.runner.hold_max_ms},
-                            {"key_revocation_ms", 5'000},
-                            {"job_status_s", 120}}}});
-  }
-  void AddRunner(int number, const Options& options, const Runner::WorkOf& work_of) {
+    this->AddChild(name,
+                   {{"role", "gateway"},
+                    {"instance", instance},
+                    {"gateway",
+                     {{"front", this->fronts.back().Text()},
+                      {"ready", this->ready.back().Text()},
+                      {"store", this->StoreFor(ip, options.store_proxies)},
+                      {"task_stop_ms", options.runner.stop_ms},
+                      {"task_lease_limit_ms", options.runner.hold_max_ms},
+                      {"key_revocation_ms", 5'000},
+                      {"job_status_s", 120}}}});
+  }
+  void AddRunner(int number,
+                 const Options& options,
+                 const Runner::WorkOf& work_of) {
     const std::string ip = this->net + std::to_string(100 + number);
     const std::string name = "side-" + std::to_string(number);
     Runner::Settings settings = options.runner;
@@ -1333,11 +1424,12 @@
       settings.rack = "r1-" + std::to_string(number / 3);
     }
     const Address control{ip, 8'526};
-    this->runners.push_back(
-        std::make_unique<Runner>(settings, Address{ip, 8'529}, control, this->record, work_of));
+    this->runners.push_back(std::make_unique<Runner>(
+        settings, Address{ip, 8'529}, control, this->record, work_of));
     Address app = this->runners.back()->Listen();
     if (options.runner_proxies) {
-      this->runner_proxies.push_back(std::make_unique<Proxy>(Address{ip, 8'601}, app));
+      this->runner_proxies.push_back(
+          std::make_unique<Proxy>(Address{ip, 8'601}, app));
       app = this->runner_proxies.back()->Listen();
     }
     this->AddChild(name, {{"role", "worker_agent"},
@@ -1359,7 +1451,9 @@
   std::string key;
   int guaranteed = 0;
 };
-inline Json Config(int version, const std::vector<Queue>& queues, const std::vector<Tenant>& tenants) {
+inline Json Config(int version,
+                   const std::vector<Queue>& queues,
+                   const std::vector<Tenant>& tenants) {
   Json routes = Json::array();
   for (const Queue& queue : queues) {
     routes.push_back({{"name", "r-" + queue.prefix},
@@ -1383,15 +1477,28 @@
   }
   return {{"version", version},
           {"routes", routes},
-          {"services", {{{"name", "svc"}, {"health_path", "/health"}, {"max_conns", 64}, {"protocol", "h1"}, {"tls", false}, {"admission_check", false}, {"standby", false}}}},
-          {"limits", {{"max_header_bytes", 16'384}, {"max_body_bytes", 262'144}, {"header_timeout_ms", 3'000}, {"idle_timeout_ms", 15'000}}},
+          {"services",
+           {{{"name", "svc"},
+             {"health_path", "/health"},
+             {"max_conns", 64},
+             {"protocol", "h1"},
+             {"tls", false},
+             {"admission_check", false},
+             {"standby", false}}}},
+          {"limits",
+           {{"max_header_bytes", 16'384},
+            {"max_body_bytes", 262'144},
+            {"header_timeout_ms", 3'000},
+            {"idle_timeout_ms", 15'000}}},
           {"tenants", accounts}};
 }
 
 /// The ID of a job, 16 hexadecimal digits.
 inline std::string JobId(std::uint64_t number) {
   char text[17];
-  std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(0xc0de000000000000ULL + number));
+  std::snprintf(
+      text, sizeof(text), "%016llx",
+      static_cast<unsigned long long>(0xc0de000000000000ULL + number));
   return text;
 }
 
