Follow a run to the restarted worker that lists it

Four tasks ran on two workers at the same time for 1.6 s.

Cause: the planner took every run of another incarnation as ended (EndLostRuns), also if the same report lists the run as running. An agent that lives on keeps such runs assigned until they are stopped, but a new process of the agent reports the new incarnation at once, since it knows no earlier one.

Evidence, with kept logs: in one millisecond the planner writes agent_process_changed with runs=4, worker_given_up detail="another incarnation", run_lost for these runs, and task_assigned run=2. Ruled out: an expired lease (the detail would be "lease expired"), and a late start after the lists (the report already has the four runs).

Change: a run that the worker's present process lists under the same id is assigned to that process (run_followed). It keeps its capacity, gets orders, and is stopped like any other. Starts that the earlier agent process left unanswered cannot arrive after the lists that the new one has read, because its fence is higher. What the lists do not contain is lost as before.

--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -135,6 +135,11 @@
         task->worker.agent != agent) {
       continue;
     }
+    if (worker != this->workers.end() &&
+        !this->FollowRun(job->second, seen, *task,
+                         worker->second.description.incarnation)) {
+      continue;
+    }
     if (task->phase == TaskPhase::kStarting) {
       task->phase = TaskPhase::kRunning;
       task->progress_at = read_at;
@@ -160,6 +165,28 @@
   }
 }
 
+// A start that the earlier process of a worker left unanswered may be carried
+// out by the process that follows under the same id. The agent does not know of
+// it if it has restarted as well.
+bool JobPlanner::FollowRun(Job& job,
+                           const RunningTask& seen,
+                           TaskState& task,
+                           const WorkerIncarnation& incarnation) {
+  if (task.worker == incarnation) {
+    return true;
+  }
+  if (task.worker.id != incarnation.id) {
+    return false;
+  }
+  this->RecordEvent(PlannerEventKind::kRunFollowed, seen.task, seen.run,
+                    incarnation.id,
+                    "worker started at " + std::to_string(incarnation.born_ms) +
+                        " instead of " + std::to_string(task.worker.born_ms));
+  task.worker = incarnation;
+  this->MarkChanged(job);
+  return true;
+}
+
 void JobPlanner::ApplyRunReport(const InstanceId& agent,
                                 const RunReport& report,
                                 const TransitionTime& time) {
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -265,6 +265,12 @@
                                   const RunIndex::Runs& runs_here,
                                   std::uint64_t committed) const;
   void MarkChanged(Job& job);
+  /// Assigns a run to the process of its worker that lists it as running.
+  /// Returns false when the run belongs to a worker with another id.
+  bool FollowRun(Job& job,
+                 const RunningTask& seen,
+                 TaskState& task,
+                 const WorkerIncarnation& incarnation);
   void UpdateWorkerHealth(Worker& worker,
                           const RunReport& report,
                           const Job& job,
--- a/tests/workload/worker_crash_test.cc
+++ b/tests/workload/worker_crash_test.cc
@@ -65,6 +65,69 @@
   CHECK(fixture.ActiveTasks().at(kTask).run == before.run);
 }
 
+TEST_CASE("a run that a restarted worker lists takes its capacity and orders") {
+  // Guards against a worker that is overloaded or not stopped after its
+  // restart.
+  PlannerFixture fixture(1);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 8})));
+  fixture.Plan();
+  const TaskState before = fixture.ActiveTasks().at(kTask);
+  const InstanceId agent = before.worker.agent;
+  fixture.planner.Submit(MakeJob("other", MakeStep(1, {1'000, 1'000, 8})));
+  fixture.ReportWorker(0, 2);
+  fixture.planner.UpdateRunning(agent, {{kTask, before.run, 10, "", 0}},
+                                fixture.now);
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().size() == 1);
+  CHECK(fixture.ActiveTasks().at(kTask).worker.born_ms == 2);
+  fixture.planner.Cancel(JobId("j"), fixture.Time());
+  const auto orders = fixture.planner.Orders(fixture.planner.NextCommit());
+  REQUIRE(orders.contains(agent));
+  REQUIRE(orders.at(agent).size() == 1);
+  CHECK(orders.at(agent)[0].run == before.run);
+  CHECK(orders.at(agent)[0].stop);
+}
+
+TEST_CASE("a new planner follows a run to the restarted worker that lists it") {
+  // Guards against a run that is given up because a takeover fell into the
+  // restart of its worker.
+  PlannerFixture first(2);
+  first.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  first.planner.Plan(first.Time());
+  const Job& job = first.planner.Jobs().at(JobId("j"));
+  Job copy = Job::Of(job.submission);
+  REQUIRE(DecodeProgress(EncodeProgress(job), copy));
+  PlannerFixture second(2);
+  second.planner.Load(std::move(copy), second.Time());
+  const TaskState before = second.ActiveTasks().at(kTask);
+  const InstanceId agent = before.worker.agent;
+  second.ReportWorker(
+      agent == InstanceId(PlannerFixture::WorkerName(0)) ? 0 : 1, 2);
+  second.planner.UpdateRunning(agent, {{kTask, before.run, 10, "", 0}},
+                               second.now);
+  second.Plan();
+  CHECK(second.ActiveTasks().at(kTask).run == before.run);
+  CHECK(second.ActiveTasks().at(kTask).worker.born_ms == 2);
+  CHECK(second.planner.TakeChanges().empty());
+}
+
+TEST_CASE("a run that a worker under another id lists is not followed") {
+  // Guards against orders for a run that was never sent to the worker.
+  PlannerFixture fixture(2);
+  fixture.planner.Submit(MakeJob("j", MakeStep(1, {1'000, 1'000, 1})));
+  fixture.Plan();
+  const TaskState before = fixture.ActiveTasks().at(kTask);
+  WorkerDescription other =
+      fixture.planner.Workers().at(before.worker.agent).description;
+  other.incarnation.id = WorkerId("another");
+  fixture.planner.UpdateWorker(before.worker.agent, other,
+                               fixture.now.After(6'000), fixture.Time());
+  fixture.planner.UpdateRunning(before.worker.agent,
+                                {{kTask, before.run, 10, "", 0}}, fixture.now);
+  fixture.Plan();
+  CHECK(fixture.ActiveTasks().at(kTask).run == before.run + 1);
+}
+
 TEST_CASE("a new planner continues the count of crashed workers") {
   // Guards against a task that is started anew after each change of planner.
   PlannerFixture first(2);
