Ignore a late answer of an earlier process of an agent

An exchange that an agent's earlier process had answered may arrive after its present process has answered a later one; the link took it for a new process and replaced worker and lists by the old ones for one exchange, and runs of the present worker counted as lost.

Cause: only reports of one process were ordered (by their number). Start times do not order processes, since the agent's wall clock may be set back.

Change: an answer of another process is ignored if its exchange was sent before one that has been answered; ignored reports are logged.

--- a/packages/gateway/worker_link.cc
+++ b/packages/gateway/worker_link.cc
@@ -174,7 +174,7 @@
     }
     return;
   }
-  this->ApplyReport(reply.value);
+  this->ApplyReport(reply.value, sequence);
   if (newest && sequence == this->sequence) {
     this->Send(this->settings.wait_ms);
   }
@@ -214,12 +214,28 @@
        {"epoch", std::to_string(this->epoch)}});
 }
 
-void WorkerLink::ApplyReport(const rpc::ExchangeReply& reply) {
-  const bool agent_restarted =
-      reply.agent_incarnation() != this->agent_incarnation;
-  if (!agent_restarted && reply.report() < this->seen_report) {
+// Answers may overtake each other. Start times do not order the agent's
+// processes, since its wall clock may have been set back in between.
+bool WorkerLink::IsOutdated(const rpc::ExchangeReply& reply,
+                            std::uint64_t sequence) const {
+  return reply.agent_incarnation() == this->agent_incarnation
+             ? reply.report() < this->seen_report
+             : sequence < this->answered_sequence;
+}
+
+void WorkerLink::ApplyReport(const rpc::ExchangeReply& reply,
+                             std::uint64_t sequence) {
+  if (this->IsOutdated(reply, sequence)) {
+    Log(LogLevel::kInfo, "ignoring outdated report",
+        {{"agent", this->agent.value},
+         {"incarnation", std::to_string(reply.agent_incarnation())},
+         {"report", std::to_string(reply.report())},
+         {"sequence", std::to_string(sequence)}});
     return;
   }
+  const bool agent_restarted =
+      reply.agent_incarnation() != this->agent_incarnation;
+  this->answered_sequence = std::max(this->answered_sequence, sequence);
   if (!this->connected && this->has_failed) {
     Log(LogLevel::kInfo, "dependency regained",
         {{"dependency", "agent"}, {"agent", this->agent.value}});
--- a/packages/gateway/worker_link.h
+++ b/packages/gateway/worker_link.h
@@ -101,7 +101,9 @@
   void OnReply(const rpc::RpcResult<rpc::ExchangeReply>& reply,
                std::uint64_t sequence);
   void OnFailure(const rpc::RpcResult<rpc::ExchangeReply>& reply);
-  void ApplyReport(const rpc::ExchangeReply& reply);
+  bool IsOutdated(const rpc::ExchangeReply& reply,
+                  std::uint64_t sequence) const;
+  void ApplyReport(const rpc::ExchangeReply& reply, std::uint64_t sequence);
   void LogProcess(const rpc::ExchangeReply& reply) const;
   void ExtendLease(Instant now);
   void GrantLease(rpc::ExchangeRequest& request, Instant now) const;
@@ -121,6 +123,8 @@
   /// Begins at the time of creation, in ms, so that the agent follows a link
   /// that replaces another one of the same planner.
   std::uint64_t sequence;
+  /// Highest sequence number whose answer has been applied.
+  std::uint64_t answered_sequence = 0;
   bool connected = false;
   bool has_failed = false;
   /// The agent has answered this planner.
