End a started run that the worker no longer lists

A run that the planner or the agent knows to have started, and that the worker lists neither as running nor as ended, stayed assigned until the stall check, a long-running one for good: nothing asked for its end.

Change: if a list that was requested after the start was known contains neither, the run is stopped, so that the worker rejects a late start, and ends as stopped with the next list. A list from before the start was accepted does not count, and neither does one that was cut off.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -79,6 +79,9 @@
         this->MarkEnded(state, RunEnd::kWorkerLost);
       }
     }
+    if (state.desired.started || state.confirmed) {
+      state.listed_from = std::min(state.listed_from, now);
+    }
     next.emplace(key, std::move(state));
   }
   this->desired_runs = std::move(next);
@@ -159,7 +162,7 @@
         continue;
       }
     }
-    if (state.desired.stop || unconfirmed_while_draining) {
+    if (state.desired.stop || state.vanished || unconfirmed_while_draining) {
       if (!state.stop_in_flight && !state.stop_done) {
         state.stop_in_flight = true;
         due.stops.push_back(key);
@@ -185,6 +188,7 @@
   switch (result) {
     case OrderResult::kDone:
       state.confirmed = true;
+      state.listed_from = std::min(state.listed_from, now);
       return;
     case OrderResult::kNoCapacity:
     case OrderResult::kTicketRefused:
@@ -237,12 +241,9 @@
       this->MarkEnded(state, end->end);
     } else if (Contains(this->running, key)) {
       state.confirmed = true;
-    } else if (state.closed && !state.ended && sent > state.closed_at &&
-               end == this->ended.end() && !reply.ends_truncated) {
-      // No end is listed, and the worker rejects a late start.
-      const RunEnd unlisted =
-          state.confirmed ? RunEnd::kStopped : RunEnd::kRefused;
-      this->MarkEnded(state, this->restarted ? state.end_by_exit : unlisted);
+      state.listed_from = std::min(state.listed_from, now);
+    } else if (end == this->ended.end()) {
+      this->CheckUnlisted(state, reply, sent);
     }
   }
   // Before the first orders arrive, it is unknown which runs were ordered.
@@ -259,6 +260,26 @@
   this->unexpected = std::move(remaining);
 }
 
+// A run that is listed neither as running nor as ended has ended once the
+// worker rejects a late start of it.
+void RunTable::CheckUnlisted(State& state,
+                             const LeaseReply& reply,
+                             Instant sent) {
+  if (state.ended || reply.ends_truncated) {
+    return;
+  }
+  if (!state.closed) {
+    state.vanished =
+        state.vanished || (!this->restarted && sent > state.listed_from);
+    return;
+  }
+  if (sent > state.closed_at) {
+    const bool started = state.confirmed || state.desired.started;
+    const RunEnd unlisted = started ? RunEnd::kStopped : RunEnd::kRefused;
+    this->MarkEnded(state, this->restarted ? state.end_by_exit : unlisted);
+  }
+}
+
 RunEnd RunTable::EndByExit(const RunKey& run,
                            const State& state,
                            WorkerExit exit) const {
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -145,6 +145,11 @@
     bool start_unanswered = false;
     /// The worker has accepted or listed the run.
     bool confirmed = false;
+    /// Lists requested later contain the run or its end, because it is known to
+    /// have started.
+    Instant listed_from = Instant::Never();
+    /// Such lists contained neither, so the run is stopped before it ends.
+    bool vanished = false;
     Instant retry_at;
     /// Run end derived from order results or the loss of the worker. Valid if
     /// `ended` is true.
@@ -159,6 +164,7 @@
   bool MayHoldResources(const RunKey& run, const State& state) const;
   workload::Resources ResourcesInUse() const;
   void Withdraw(State& state, Instant now);
+  void CheckUnlisted(State& state, const LeaseReply& reply, Instant sent);
   void MarkEnded(State& state, workload::RunEnd end);
   workload::RunEnd EndByExit(const RunKey& run,
                              const State& state,
--- a/tests/worker_agent/run_table_test.cc
+++ b/tests/worker_agent/run_table_test.cc
@@ -74,6 +74,35 @@
   CHECK(table.Ends().size() == 1);
 }
 
+TEST_CASE("a list from before the start was accepted does not stop the run") {
+  // Guards against a sound run that is stopped because answers overtook each
+  // other.
+  RunTable table({});
+  table.SetDesired({MakeDesired()}, Instant{0});
+  REQUIRE(table.TakeDue(Instant{0}).starts.size() == 1);
+  table.OnStart(kRun, OrderResult::kDone, Instant{20});
+  table.OnLists(MakeReply(false), Instant{10}, Instant{30});
+  CHECK(table.TakeDue(Instant{30}).stops.empty());
+  table.OnLists(MakeReply(true), Instant{40}, Instant{50});
+  CHECK(table.TakeDue(Instant{50}).stops.empty());
+  CHECK(table.Ends().empty());
+}
+
+TEST_CASE("a run that the worker does not list is stopped before it ends") {
+  // Guards against a late start after the run has been given up.
+  RunTable table({});
+  table.SetDesired({MakeDesired(/*stop=*/false, /*started=*/true)}, Instant{0});
+  table.OnLists(MakeReply(false), Instant{10}, Instant{11});
+  CHECK(table.Ends().empty());
+  REQUIRE(table.TakeDue(Instant{12}).stops.size() == 1);
+  table.OnStop(kRun, OrderResult::kDone, Instant{20});
+  table.OnLists(MakeReply(false), Instant{15}, Instant{21});
+  CHECK(table.Ends().empty());
+  table.OnLists(MakeReply(false), Instant{22}, Instant{30});
+  REQUIRE(table.Ends().size() == 1);
+  CHECK(table.Ends()[0].end == workload::RunEnd::kStopped);
+}
+
 DesiredRun MakeDemanding(std::uint32_t index, std::int64_t accelerators) {
   DesiredRun run = MakeDesired();
   run.task.index = index;
