Count a failed run of a gang once

Cause: each member's end was counted (CountFailure), and the record of the job holds the count but not the run that it was counted for.

Change: the state of a step has the latest run that was counted (last_failed_run, stored); the end of a member counts only for a later run. All members of a gang have one run number, and the next run starts after all ends of the last one, so the latest one is enough, also across a takeover. In records of earlier versions, which have no such run, the count is cut to the number of runs, and the latest run counts as counted if a member has ended in it.

--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -157,8 +157,10 @@
 /// The tasks of one step of one occurrence.
 struct StepState {
   std::vector<TaskState> tasks;
-  /// Number of failed runs of the whole gang.
+  /// Number of failed runs of the whole gang, and the latest of them; 0 for
+  /// none.
   std::uint32_t gang_failures = 0;
+  std::uint32_t last_failed_run = 0;
 
   bool IsDone() const;
 };
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -24,6 +24,12 @@
   return most;
 }
 
+/// True when a run of the task or of its gang has failed.
+bool HasFailed(const Job& job, const TaskKey& key) {
+  const StepState& step = job.occurrences[key.occurrence].steps[key.step];
+  return step.gang_failures > 0 || step.tasks[key.index].failures > 0;
+}
+
 std::string LossReason(bool known, bool knows_incarnation) {
   if (!known) {
     return "agent unknown";
@@ -232,6 +238,7 @@
                           const TransitionTime& time) {
   const TaskState* task = job.Find(report.task);
   const Instant ordered_at = task == nullptr ? time.now : task->ordered_at;
+  const bool failed_before = task != nullptr && HasFailed(job, report.task);
   const bool was_final = IsFinal(job.phase);
   if (!ApplyRunEnd(job, incarnation, report, time)) {
     return;
@@ -242,7 +249,7 @@
                     time.now.ms - ordered_at.ms);
   const auto worker = this->workers.find(incarnation.agent);
   if (worker != this->workers.end()) {
-    this->UpdateWorkerHealth(worker->second, report, job, time.now);
+    this->UpdateWorkerHealth(worker->second, report, failed_before, time.now);
   }
   if (!was_final && IsFinal(job.phase)) {
     if (report.end == RunEnd::kWorkerCrashed) {
@@ -259,7 +266,7 @@
 // first failure counts against the worker.
 void JobPlanner::UpdateWorkerHealth(Worker& worker,
                                     const RunReport& report,
-                                    const Job& job,
+                                    bool failed_before,
                                     Instant now) {
   if (report.end == RunEnd::kDone) {
     worker.consecutive_failures = 0;
@@ -272,11 +279,7 @@
     worker.refusal_backoff_until = now.After(this->settings.refusal_backoff_ms);
     return;
   }
-  const auto& step =
-      job.occurrences[report.task.occurrence].steps[report.task.step];
-  const std::uint32_t failures =
-      std::max(step.gang_failures, step.tasks[report.task.index].failures);
-  if (report.end != RunEnd::kFailed || failures > 1) {
+  if (report.end != RunEnd::kFailed || failed_before) {
     return;
   }
   ++worker.consecutive_failures;
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -279,7 +279,7 @@
                  Instant read_at);
   void UpdateWorkerHealth(Worker& worker,
                           const RunReport& report,
-                          const Job& job,
+                          bool failed_before,
                           Instant now);
   void ApplyEnd(Job& job,
                 const WorkerIncarnation& incarnation,
--- a/packages/workload/job_transitions.cc
+++ b/packages/workload/job_transitions.cc
@@ -38,11 +38,12 @@
   if (!gang) {
     return task.failures;
   }
-  // Several members may report a failure of the same run; it counts once for
-  // the gang.
-  const std::uint32_t most =
-      std::ranges::max(step.tasks, {}, &TaskState::failures).failures;
-  step.gang_failures = std::max(step.gang_failures + 1, most);
+  // The members report the failure of one run one by one, perhaps to several
+  // planners.
+  if (task.run > step.last_failed_run) {
+    step.last_failed_run = task.run;
+    ++step.gang_failures;
+  }
   return step.gang_failures;
 }
 
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -82,6 +82,18 @@
   return task.phase == TaskPhase::kWaiting && task.run == 0;
 }
 
+// An older version counted the failure of a run once for each member that
+// reported it. A member without a worker tells that the latest run has ended
+// for it, probably because that run failed.
+void CorrectMemberCount(StepState& step) {
+  const std::uint32_t latest =
+      std::ranges::max(step.tasks, {}, &TaskState::run).run;
+  const bool latest_has_failed = std::ranges::any_of(
+      step.tasks, [](const TaskState& task) { return !task.HoldsResources(); });
+  step.last_failed_run = latest_has_failed || latest == 0 ? latest : latest - 1;
+  step.gang_failures = std::min(step.gang_failures, step.last_failed_run);
+}
+
 bool DecodeTask(const records::JobRecord& record,
                 const records::TaskRecord& stored,
                 Job& job) {
@@ -181,6 +193,7 @@
         failures->set_occurrence(k);
         failures->set_step(s);
         failures->set_failures(steps[s].gang_failures);
+        failures->set_last_failed_run(steps[s].last_failed_run);
       }
       for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
         const TaskState& task = steps[s].tasks[i];
@@ -227,9 +240,13 @@
                       0}) == nullptr) {
       return Fail(RecordError{job.submission.id.value});
     }
-    decoded.occurrences[stored.occurrence()]
-        .steps[stored.step()]
-        .gang_failures = stored.failures();
+    StepState& step =
+        decoded.occurrences[stored.occurrence()].steps[stored.step()];
+    step.gang_failures = stored.failures();
+    step.last_failed_run = stored.last_failed_run();
+    if (step.gang_failures > 0 && step.last_failed_run == 0) {
+      CorrectMemberCount(step);
+    }
   }
   job = std::move(decoded);
   return {};
