Let the leases of a worker that goes silent end

A job on it is shown as running, and its tasks never run again, beside six idle workers.

Cause: the planner renews the permission for leases with each report of the agent, and the agent went on naming the worker, although it could renew no lease. Only refused connections, or silence after a shutdown notice, ended it.

Change: a worker that has not returned its lists for 3 s is not named in reports until it does, as after a shutdown notice; the planner grants no more leases, and ends the runs when the last one has expired. If the worker answers before, its runs go on. Starts that were requested before the silence are held until new orders arrive, since their runs may have been given up meanwhile.

--- a/packages/worker_agent/exchange_codec.cc
+++ b/packages/worker_agent/exchange_codec.cc
@@ -15,6 +15,13 @@
 
 }  // namespace
 
+bool NamesWorker(const rpc::ExchangeRequest& request,
+                 const workload::WorkerIncarnation& worker) {
+  return !request.worker().id().empty() &&
+         request.worker().id() == worker.id.value &&
+         request.worker().born_unix_ms() == worker.born_ms;
+}
+
 std::vector<DesiredRun> DecodeOrders(const rpc::ExchangeRequest& request) {
   std::vector<DesiredRun> desired;
   for (const auto& order : request.orders()) {
@@ -32,10 +39,15 @@
   return desired;
 }
 
-void EncodeDescription(const workload::WorkerDescription& description,
-                       const workload::WorkerIncarnation& last_crashed,
-                       rpc::ExchangeReply& reply) {
+rpc::ExchangeReply EncodeReport(const workload::WorkerDescription& description,
+                                const workload::WorkerIncarnation& last_crashed,
+                                Instant lists_read_at) {
+  const Instant now = BootClock{}.Now();
+  rpc::ExchangeReply reply;
+  reply.set_agent_clock_ms(now.ms);
+  reply.set_running_age_ms(now.ms - lists_read_at.ms);
   EncodeIncarnation(description.incarnation, *reply.mutable_worker());
+  reply.set_availability(static_cast<std::uint32_t>(description.availability));
   reply.set_service(description.service.value);
   reply.set_failure_domain(description.failure_domain.value);
   reply.set_rack(description.rack.value);
@@ -48,6 +60,7 @@
   if (!last_crashed.id.empty()) {
     EncodeIncarnation(last_crashed, *reply.mutable_crashed_worker());
   }
+  return reply;
 }
 
 void EncodeRuns(const RunTable& runs, rpc::ExchangeReply& reply) {
--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -47,6 +47,7 @@
   this->exited = false;
   this->restarted = false;
   this->orders_received = false;
+  this->starts_held = false;
   ++this->version;
 }
 
@@ -86,6 +87,7 @@
   }
   this->desired_runs = std::move(next);
   this->orders_received = true;
+  this->starts_held = false;
 }
 
 RunTraits RunTable::TraitsOf(const RunKey& run) const {
@@ -122,8 +124,8 @@
 }
 
 bool RunTable::MustStart(const RunKey& run, const State& state) const {
-  return !state.desired.stop && !state.desired.started && !state.confirmed &&
-         !state.closed && !state.start_in_flight &&
+  return !this->starts_held && !state.desired.stop && !state.desired.started &&
+         !state.confirmed && !state.closed && !state.start_in_flight &&
          !Contains(this->running, run);
 }
 
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -90,6 +90,10 @@
     this->capacity = capacity;
   }
 
+  /// Sends no starts until the next SetDesired(): the planner may have given up
+  /// the requested runs.
+  void HoldStarts() { this->starts_held = true; }
+
   /// Returns the orders to send now. Each counts as in flight until its result
   /// is reported.
   DueOrders TakeDue(Instant now);
@@ -178,6 +182,7 @@
   /// was first listed.
   std::map<RunKey, Instant> unexpected;
   bool draining = false;
+  bool starts_held = false;
   workload::Resources capacity;
   /// The worker's process has exited.
   bool exited = false;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -15,6 +15,7 @@
 #include "packages/rpc/rpc_types.h"
 #include "packages/rpc/worker_control.pb.h"
 #include "packages/worker_agent/exchange_codec.h"
+#include "packages/worker_agent/fencing_token.h"
 #include "packages/worker_agent/heartbeat_order.h"
 #include "packages/worker_agent/lease_authority.h"
 #include "packages/worker_agent/lease_timer.h"
@@ -22,6 +23,7 @@
 #include "packages/worker_agent/pace_controller.h"
 #include "packages/worker_agent/report_channel.h"
 #include "packages/worker_agent/run_table.h"
+#include "packages/worker_agent/silence_monitor.h"
 #include "packages/worker_agent/worker_agent_settings.h"
 #include "packages/worker_agent/worker_clock.h"
 #include "packages/worker_agent/worker_log.h"
@@ -53,9 +55,9 @@
         orders(port, metrics, this->settings.answer_timeout_ms),
         runs(this->settings.runs),
         pace(this->settings.pace),
-        fence(static_cast<std::uint64_t>(WallClock{}.Now().ms)),
         probe(task, port, this->settings.probe, this->ProbeCallbacks()),
         heartbeat_order(this->settings.max_late_heartbeats_ms),
+        silence(this->settings.max_silence_ms),
         lease_timer(task, [this] { this->SendLeaseCall(); }) {}
 
   ~WorkerAgent() { *this->alive = false; }
@@ -155,14 +157,6 @@
     return changed;
   }
 
-  // Lists without a start time prove only the id.
-  bool Matches(const workload::WorkerIncarnation& life,
-               const LeaseReply& lists) const {
-    return lists.born_ms != 0
-               ? lists.born_ms == life.born_ms
-               : life.born_ms > this->description.incarnation.born_ms;
-  }
-
   ReportChannelCallbacks ReportCallbacks() {
     return {[this](std::uint64_t epoch) {
               this->first_orders = true;
@@ -176,9 +170,11 @@
 
   WorkerProbeCallbacks ProbeCallbacks() {
     return {
-        [this] { return this->fence; }, [this] { this->RaiseFence(); },
+        [this] { return this->fence.Value(); }, [this] { this->fence.Raise(); },
         [this](const workload::WorkerIncarnation& life,
-               const LeaseReply& lists) { return this->Matches(life, lists); },
+               const LeaseReply& lists) {
+          return MayHaveReturned(life, lists, this->description.incarnation);
+        },
         [this](const WorkerHeartbeat& heartbeat, const LeaseReply& lists,
                Instant sent) {
           this->FollowIncarnation(heartbeat, lists, sent);
@@ -190,6 +186,7 @@
                          const LeaseReply& lists,
                          Instant sent) {
     const auto& life = heartbeat.description.incarnation;
+    this->silence.OnAnswer(life);
     if (this->MayHoldRuns(life.id)) {
       this->successor = heartbeat;
       this->OnRestart(life.born_ms);
@@ -244,13 +241,9 @@
 
   /// Returns whether the next lease call need not wait for acknowledged ends.
   bool ApplyOrders(const rpc::ExchangeRequest& request) {
-    const bool same_incarnation =
-        request.worker().id() == this->description.incarnation.id.value &&
-        request.worker().born_unix_ms() ==
-            this->description.incarnation.born_ms;
     // While runs of an earlier process are being stopped, the acknowledged end
     // counts the ends of that process.
-    if (!same_incarnation || request.worker().id().empty() ||
+    if (!NamesWorker(request, this->description.incarnation) ||
         this->restarted_born_ms.has_value()) {
       return false;
     }
@@ -270,19 +263,17 @@
   }
 
   rpc::ExchangeReply Reply() const {
-    rpc::ExchangeReply reply;
-    reply.set_agent_clock_ms(BootClock{}.Now().ms);
-    reply.set_agent_incarnation(this->incarnation);
     // The planner grants no leases to an agent that names no worker, and takes
     // its runs as lost when the last lease has expired.
-    const bool unknown = this->leaving && this->silent;
-    EncodeDescription(
-        unknown ? workload::WorkerDescription() : this->description,
-        this->last_crashed, reply);
-    reply.set_availability(static_cast<std::uint32_t>(
-        this->lists_read ? this->description.availability
-                         : workload::WorkerAvailability::kAbsent));
-    reply.set_running_age_ms(BootClock{}.Now().ms - this->lists_read_at.ms);
+    const bool unknown =
+        (this->leaving && this->silent) || this->silence.Unresponsive();
+    auto reported = unknown ? workload::WorkerDescription() : this->description;
+    if (!this->lists_read) {
+      reported.availability = workload::WorkerAvailability::kAbsent;
+    }
+    auto reply =
+        EncodeReport(reported, this->last_crashed, this->lists_read_at);
+    reply.set_agent_incarnation(this->incarnation);
     if (!this->restarted_born_ms.has_value() && !unknown) {
       EncodeRuns(this->runs, reply);
     }
@@ -325,7 +316,7 @@
     }
     this->orders.Start(
         {run.task, run.run, run.payload, run.checkpoint, run.ticket, until,
-         this->fence, this->description.incarnation.id},
+         this->fence.Value(), this->description.incarnation.id},
         [this, key](const StartReply& reply) {
           this->worker_clock.Update(reply.worker_clock_ms);
           this->runs.OnStart(key, reply.result, BootClock{}.Now());
@@ -334,37 +325,31 @@
   }
 
   void SendStop(const RunKey& key) {
-    this->orders.Stop(
-        {key.first, key.second, this->fence, this->description.incarnation.id},
-        [this, key](OrderResult result) {
-          this->runs.OnStop(key, result, BootClock{}.Now());
-          this->OnOrderResult(result);
-        });
+    this->orders.Stop({key.first, key.second, this->fence.Value(),
+                       this->description.incarnation.id},
+                      [this, key](OrderResult result) {
+                        this->runs.OnStop(key, result, BootClock{}.Now());
+                        this->OnOrderResult(result);
+                      });
   }
 
   void SendPaces() {
     for (const PaceChange& change : this->pace.Update(
              this->runs.Running(), this->runs, BootClock{}.Now())) {
-      this->orders.Throttle({change.task, change.run, change.percent,
-                             this->fence, this->description.incarnation.id},
-                            [this, change](OrderResult result) {
-                              if (result != OrderResult::kDone) {
-                                this->pace.OnFailure({change.task, change.run});
-                              }
-                            });
+      this->orders.Throttle(
+          {change.task, change.run, change.percent, this->fence.Value(),
+           this->description.incarnation.id},
+          [this, change](OrderResult result) {
+            if (result != OrderResult::kDone) {
+              this->pace.OnFailure({change.task, change.run});
+            }
+          });
     }
   }
 
-  // A rejected fence means that an earlier process of this agent sent orders
-  // with a higher fence, because the clock was set back in between.
-  void RaiseFence() {
-    constexpr std::uint64_t kFenceStep = 10'000;
-    this->fence += kFenceStep;
-  }
-
   void OnOrderResult(OrderResult result) {
     if (result == OrderResult::kFenced) {
-      this->RaiseFence();
+      this->fence.Raise();
     } else if (result == OrderResult::kOtherIncarnation) {
       this->EndIncarnation("another incarnation answered", this->ExitKind());
       return;
@@ -390,7 +375,7 @@
     const std::int64_t wait_ms =
         this->lists_read && !restarted ? this->settings.list_wait_ms : 0;
     this->port.RenewLeases(
-        {this->fence, this->acknowledged_end,
+        {this->fence.Value(), this->acknowledged_end,
          restarted ? 0 : this->worker_clock.LeaseUntil(this->authority.Until()),
          wait_ms, this->description.incarnation.id},
         now.After(wait_ms + this->settings.answer_timeout_ms),
@@ -415,6 +400,16 @@
       return;
     }
     this->refusals = 0;
+    const bool responds = this->silence.OnAnswer(life);
+    this->OnLists(reply, life, sent);
+    if (responds) {
+      this->reports.Report();
+    }
+  }
+
+  void OnLists(const LeaseReply& reply,
+               const workload::WorkerIncarnation& life,
+               Instant sent) {
     if (this->restarted_born_ms.has_value()) {
       this->OnRestartedLists(reply, sent);
       return;
@@ -454,6 +449,11 @@
   }
 
   void OnLeaseFailure(OrderResult result) {
+    if (!this->exited &&
+        this->silence.OnFailure(this->description.incarnation)) {
+      this->runs.HoldStarts();
+      this->reports.Report();
+    }
     this->refusals =
         result == OrderResult::kUnreachable ? this->refusals + 1 : 0;
     if (result == OrderResult::kFenced ||
@@ -524,7 +524,7 @@
 
   /// Forgets the worker's process. The next one rejects late calls to it.
   void ResetWorkerState() {
-    ++this->fence;
+    this->fence.Advance();
     this->orders.DropResults();
     this->pace.Reset();
     this->refusals = 0;
@@ -546,6 +546,7 @@
     this->refusals = 0;
     this->restarted_born_ms.reset();
     this->leaving = false;
+    this->silence.OnEnd();
     this->description.availability = workload::WorkerAvailability::kAbsent;
     this->runs.OnWorkerGone(exit);
     this->reports.Report();
@@ -559,9 +560,7 @@
   OrderSender<Port> orders;
   RunTable runs;
   PaceController pace;
-  /// Fence of all orders, normally higher than in any order of an earlier
-  /// process of this agent.
-  std::uint64_t fence;
+  FencingToken fence;
   WorkerProbe<Port> probe;
   workload::WorkerDescription description;
   /// The incarnation that crashed last; empty for none.
@@ -577,6 +576,7 @@
   bool leaving = false;
   /// The worker has left a question unanswered since then.
   bool silent = false;
+  SilenceMonitor silence;
   std::uint32_t refusals = 0;
   /// Start time of the worker's new process, while the runs ordered from the
   /// earlier one are being stopped there.
--- a/packages/worker_agent/worker_agent_settings.h
+++ b/packages/worker_agent/worker_agent_settings.h
@@ -26,6 +26,10 @@
   /// Number of consecutive refused connections after which the worker's process
   /// is considered to have exited.
   std::uint32_t max_refused_connections = 2;
+  /// A worker that has not returned its lists for this long is not named to the
+  /// planner, so that its leases end. It must exceed the time of two requests
+  /// for the lists.
+  std::int64_t max_silence_ms = 3'000;
   /// Heartbeats that arrive out of order for longer than this are not late: the
   /// one that overtook them was odd.
   std::int64_t max_late_heartbeats_ms = 3'000;
--- a/packages/worker_agent/worker_log.cc
+++ b/packages/worker_agent/worker_log.cc
@@ -42,6 +42,18 @@
   Log(LogLevel::kWarning, "shutdown_refuted", {{"worker", life.id.value}});
 }
 
+void LogWorkerUnresponsive(const workload::WorkerIncarnation& life,
+                           std::int64_t silent_ms) {
+  Log(LogLevel::kWarning, "worker_unresponsive",
+      {{"worker", life.id.value}, {"silent_ms", std::to_string(silent_ms)}});
+}
+
+void LogWorkerResponds(const workload::WorkerIncarnation& life,
+                       std::int64_t silent_ms) {
+  Log(LogLevel::kInfo, "worker_responds",
+      {{"worker", life.id.value}, {"silent_ms", std::to_string(silent_ms)}});
+}
+
 void LogStartWithdrawn(const RunKey& run) {
   Log(LogLevel::kInfo, "start_withdrawn",
       {{"job", run.first.job.value},
--- a/packages/worker_agent/worker_log.h
+++ b/packages/worker_agent/worker_log.h
@@ -27,6 +27,14 @@
 /// The worker is at work, although it has announced its shutdown.
 void LogShutdownRefuted(const workload::WorkerIncarnation& life);
 
+/// The worker has not returned its lists for `silent_ms`.
+void LogWorkerUnresponsive(const workload::WorkerIncarnation& life,
+                           std::int64_t silent_ms);
+
+/// The worker has returned its lists again.
+void LogWorkerResponds(const workload::WorkerIncarnation& life,
+                       std::int64_t silent_ms);
+
 void LogStartWithdrawn(const RunKey& run);
 
 }  // namespace carobrill::worker_agent
--- a/packages/worker_agent/worker_probe.h
+++ b/packages/worker_agent/worker_probe.h
@@ -28,6 +28,16 @@
   std::int64_t shutdown_timeout_ms = 1'000;
 };
 
+/// True when `worker` may have returned the lists. Lists without a start time
+/// prove only the id, and are believed of a process later than the `followed`
+/// one.
+inline bool MayHaveReturned(const workload::WorkerIncarnation& worker,
+                            const LeaseReply& lists,
+                            const workload::WorkerIncarnation& followed) {
+  return lists.born_ms != 0 ? lists.born_ms == worker.born_ms
+                            : worker.born_ms > followed.born_ms;
+}
+
 /// Callbacks of a probe to its agent.
 struct WorkerProbeCallbacks {
   /// Returns the fence of all calls.
--- a/tests/worker_agent/worker_agent_test.cc
+++ b/tests/worker_agent/worker_agent_test.cc
@@ -224,6 +224,88 @@
   CHECK(reply.crashed_worker().born_unix_ms() == 10);
 }
 
+/// Waits until the agent names the worker to the planner, or no longer does.
+bool WaitUntilNamed(AgentFixture<SimulatedWorker>& fixture, bool named) {
+  for (int i = 0; i < 300; ++i) {
+    if (fixture.Exchange().worker().id().empty() != named) {
+      return true;
+    }
+    g_usleep(10'000);
+  }
+  return false;
+}
+
+WorkerAgentSettings ShortSilence() {
+  WorkerAgentSettings settings;
+  settings.max_silence_ms = 300;
+  return settings;
+}
+
+TEST_CASE(
+    "a worker that does not answer for long is not named to the planner") {
+  // Guards against tasks that are never run again after their worker has gone
+  // silent for good while its agent is well.
+  AgentFixture<SimulatedWorker> fixture(ShortSilence());
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  REQUIRE(fixture.Order(10).worker().id() == "w");
+  fixture.port.silent = true;
+  REQUIRE(WaitUntilNamed(fixture, false));
+  const auto during = fixture.Exchange();
+  CHECK(during.running_size() == 0);
+  CHECK(during.ended_size() == 0);
+  CHECK(static_cast<WorkerAvailability>(during.availability()) ==
+        WorkerAvailability::kAbsent);
+  SUBCASE("it answers again") {
+    fixture.port.silent = false;
+    REQUIRE(WaitUntilNamed(fixture, true));
+    const auto after = fixture.Exchange();
+    CHECK(after.running_size() == 1);
+    CHECK(after.ended_size() == 0);
+    CHECK(fixture.port.stops == 0);
+  }
+  SUBCASE("it refuses connections") {
+    fixture.port.refusing = true;
+    fixture.port.silent = false;
+    REQUIRE(WaitUntilNamed(fixture, true));
+    CHECK(fixture.Exchange().ended_size() == 1);
+  }
+}
+
+TEST_CASE("a worker that is silent for a moment stays named to the planner") {
+  // Guards against work that is given up because of one slow answer.
+  AgentFixture<SimulatedWorker> fixture;
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.Order(10);
+  fixture.port.silent = true;
+  g_usleep(1'000'000);
+  CHECK(fixture.Exchange().worker().id() == "w");
+  fixture.port.silent = false;
+}
+
+TEST_CASE("starts from before a silence wait for new orders") {
+  // Guards against a start of a run that the planner has given up meanwhile.
+  AgentFixture<SimulatedWorker> fixture(ShortSilence());
+  fixture.port.born_ms = 10;
+  fixture.Heartbeat(10, WorkerAvailability::kReady);
+  fixture.port.start_result = OrderResult::kNoAnswer;
+  fixture.port.silent = true;
+  fixture.Order(10);
+  REQUIRE(WaitUntilNamed(fixture, false));
+  fixture.port.start_result = OrderResult::kDone;
+  fixture.port.silent = false;
+  REQUIRE(WaitUntilNamed(fixture, true));
+  rpc::ExchangeRequest grant;
+  grant.set_authority_until_agent_ms(BootClock{}.Now().ms + kLeaseMs);
+  fixture.Exchange(grant);
+  g_usleep(400'000);
+  CHECK(fixture.port.running.empty());
+  fixture.Order(10);
+  g_usleep(400'000);
+  CHECK(fixture.port.running.size() == 1);
+}
+
 TEST_CASE("a worker that was draining before it ended has not crashed") {
   AgentFixture<SimulatedWorker> fixture;
   fixture.port.born_ms = 10;
