Store the completed tasks of large jobs as ranges

When about 24,000 tasks have run, no task of any job starts any more.

Cause: the record of a job listed every task that has ever run, 11 bytes each, until the whole job ended. Above record_bytes the store refuses the append, and each planner in turn repeats it.

Change: if over 10,000 tasks of a job have run, the completed ones are stored as ranges of task numbers. Smaller jobs are stored as before, so that a planner of an earlier version reads them; it could not store the larger ones anyway. Ranges beyond the tasks of the job are rejected like other odd records.

--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -1,7 +1,9 @@
 #include "packages/workload/record_codec.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "packages/workload/workload.pb.h"
 
@@ -78,10 +80,64 @@
   std::map<WorkerIncarnation, std::uint32_t> numbers;
 };
 
+/// Number of tasks that have run above which the completed ones are stored as
+/// ranges. Versions that know no ranges would run those tasks again; listed one
+/// by one, some 20,000 tasks exceed the longest record of the log.
+constexpr std::size_t kMaxListedTasks = 10'000;
+
 bool HasNeverRun(const TaskState& task) {
   return task.phase == TaskPhase::kWaiting && task.run == 0;
 }
 
+std::size_t CountTasksThatRan(const Job& job) {
+  std::size_t count = 0;
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      count +=
+          step.tasks.size() - static_cast<std::size_t>(std::ranges::count_if(
+                                  step.tasks, HasNeverRun));
+    }
+  }
+  return count;
+}
+
+/// Adds a task to the ranges of completed tasks. Numbers must increase.
+void AddToRanges(std::uint64_t number, records::JobRecord& record) {
+  auto& ranges = *record.mutable_done_ranges();
+  const int size = ranges.size();
+  if (size > 0 && ranges[size - 2] + ranges[size - 1] == number) {
+    ranges[size - 1] += 1;
+    return;
+  }
+  ranges.Add(number);
+  ranges.Add(1);
+}
+
+/// Returns whether the ranges lie within the tasks of the job.
+bool ApplyRanges(const records::JobRecord& record, Job& job) {
+  std::vector<TaskState*> tasks;
+  for (Occurrence& occurrence : job.occurrences) {
+    for (StepState& step : occurrence.steps) {
+      for (TaskState& task : step.tasks) {
+        tasks.push_back(&task);
+      }
+    }
+  }
+  const auto& ranges = record.done_ranges();
+  if (ranges.size() % 2 != 0) {
+    return false;
+  }
+  for (int i = 0; i < ranges.size(); i += 2) {
+    if (ranges[i] > tasks.size() || ranges[i + 1] > tasks.size() - ranges[i]) {
+      return false;
+    }
+    for (std::uint64_t n = 0; n < ranges[i + 1]; ++n) {
+      tasks[ranges[i] + n]->phase = TaskPhase::kDone;
+    }
+  }
+  return true;
+}
+
 // An older version counted the failure of a run once for each member that
 // reported it. A member without a worker tells that the latest run has ended
 // for it, probably because that run failed.
@@ -184,22 +240,28 @@
   if (IsFinal(job.phase) && !job.AnyTaskHoldsResources()) {
     return record.SerializeAsString();
   }
+  const bool use_ranges = CountTasksThatRan(job) > kMaxListedTasks;
+  std::uint64_t number = 0;
   WorkerTable workers(record);
   for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
     const auto& steps = job.occurrences[k].steps;
     for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      if (steps[s].gang_failures > 0) {
+      if (steps[s].gang_failures > 0 && !steps[s].IsDone()) {
         auto* failures = record.add_gang_failures();
         failures->set_occurrence(k);
         failures->set_step(s);
         failures->set_failures(steps[s].gang_failures);
         failures->set_last_failed_run(steps[s].last_failed_run);
       }
-      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i, ++number) {
         const TaskState& task = steps[s].tasks[i];
         if (HasNeverRun(task)) {
           continue;
         }
+        if (use_ranges && task.phase == TaskPhase::kDone) {
+          AddToRanges(number, record);
+          continue;
+        }
         auto* stored = record.add_tasks();
         stored->set_occurrence(k);
         stored->set_step(s);
@@ -235,6 +297,9 @@
       return Fail(RecordError{job.submission.id.value});
     }
   }
+  if (!ApplyRanges(record, decoded)) {
+    return Fail(RecordError{job.submission.id.value});
+  }
   for (const auto& stored : record.gang_failures()) {
     if (decoded.Find({job.submission.id, stored.occurrence(), stored.step(),
                       0}) == nullptr) {
--- /dev/null
+++ b/tests/workload/record_size_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+
+#include "packages/workload/record_codec.h"
+#include "packages/workload/workload.pb.h"
+#include "tests/workload/planner_fixture.h"
+
+// Records of jobs of which many tasks have run.
+
+namespace carobrill::workload {
+namespace {
+
+/// The longest record that the platform's log takes.
+constexpr std::size_t kLongestRecord = 262'144;
+constexpr std::uint32_t kTasks = 500;
+constexpr std::uint32_t kRepeats = 60;
+
+/// Returns a job of which the tasks of the first `done` occurrences and every
+/// other task of the next one have completed, and the others of that one run.
+Job MakeScheduledJob(std::uint32_t done) {
+  Submission submission = MakeJob("j", MakeStep(kTasks, {1'000, 1'000, 0}));
+  submission.spec.repeats = kRepeats;
+  Job job = Job::Of(std::move(submission));
+  job.phase = JobPhase::kRunning;
+  for (std::uint32_t k = 0; k <= done; ++k) {
+    for (std::uint32_t i = 0; i < kTasks; ++i) {
+      TaskState& task = job.occurrences[k].steps[0].tasks[i];
+      task.run = 1;
+      task.phase =
+          k < done || i % 2 == 0 ? TaskPhase::kDone : TaskPhase::kRunning;
+      if (task.phase == TaskPhase::kRunning) {
+        task.worker = {InstanceId("a"), WorkerId("w"), 1};
+      }
+    }
+  }
+  return job;
+}
+
+Job Restore(const Job& job, const std::string& progress) {
+  Job restored = Job::Of(job.submission);
+  REQUIRE(DecodeProgress(progress, restored));
+  return restored;
+}
+
+bool SamePhases(const Job& a, const Job& b) {
+  for (std::size_t k = 0; k < a.occurrences.size(); ++k) {
+    for (std::size_t i = 0; i < kTasks; ++i) {
+      const TaskState& x = a.occurrences[k].steps[0].tasks[i];
+      const TaskState& y = b.occurrences[k].steps[0].tasks[i];
+      if (x.phase != y.phase || x.worker != y.worker ||
+          (x.HoldsResources() && x.run != y.run)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+TEST_CASE("the progress of a job with many completed tasks fits a record") {
+  // Guards against a job whose record the log refuses, so that no job goes on.
+  for (const std::uint32_t done : {1U, 10U, 19U, 20U, 40U, kRepeats - 1}) {
+    CAPTURE(done);
+    const Job job = MakeScheduledJob(done);
+    const std::string progress = EncodeProgress(job);
+    CHECK(progress.size() < kLongestRecord);
+    const Job restored = Restore(job, progress);
+    CHECK(SamePhases(job, restored));
+    // A later planner stores it in the same way.
+    CHECK(EncodeProgress(restored).size() < kLongestRecord);
+    CHECK(SamePhases(job, Restore(job, EncodeProgress(restored))));
+  }
+}
+
+TEST_CASE("a completed task that was stored in a range is not started again") {
+  // Guards against tasks that a new planner runs twice.
+  const Job job = MakeScheduledJob(kRepeats - 1);
+  PlannerFixture fixture(1);
+  fixture.planner.Load(Restore(job, EncodeProgress(job)), fixture.Time());
+  const std::size_t active = fixture.ActiveTasks().size();
+  CHECK(active == kTasks / 2);
+  fixture.planner.Plan(fixture.Time());
+  CHECK(fixture.ActiveTasks().size() <= active);
+  for (const auto& [key, task] : fixture.ActiveTasks()) {
+    CHECK(key.occurrence == kRepeats - 1);
+    CHECK(key.index % 2 == 1);
+  }
+}
+
+TEST_CASE("ranges that exceed the tasks of the job are rejected") {
+  // Guards against a process that ends because of an odd record.
+  const Job job = MakeScheduledJob(1);
+  for (const auto& [begin, count] :
+       {std::pair<std::uint64_t, std::uint64_t>{kTasks * kRepeats, 1},
+        {kTasks * kRepeats + 1, 0},
+        {1, kTasks * kRepeats},
+        {~0ULL, ~0ULL},
+        {1, ~0ULL}}) {
+    records::JobRecord record;
+    record.add_done_ranges(begin);
+    record.add_done_ranges(count);
+    Job restored = Job::Of(job.submission);
+    CHECK(!DecodeProgress(record.SerializeAsString(), restored));
+  }
+  records::JobRecord odd;
+  odd.add_done_ranges(1);
+  Job restored = Job::Of(job.submission);
+  CHECK(!DecodeProgress(odd.SerializeAsString(), restored));
+}
+
+}  // namespace
+}  // namespace carobrill::workload
