Choose which tasks of a service to miss by the room that they make

Cause: VictimPool kept only the first max_unavailable tasks of a step, in the order of the workers, before it was known which of them make room. Here that one is on a runner on which the job does not fit.

Change: the pool keeps all tasks. The search counts the tasks that it takes of each such step, over all workers, and later searches of the pass count what earlier ones have stopped.

Tests: "a service that may miss tasks is preempted where that makes room" failed before.

--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -259,7 +259,7 @@
   void AssignRuns(const WaitingUnit& waiting,
                   const std::vector<std::size_t>& workers,
                   const Pass& pass);
-  void StopVictim(Victim& victim, const WaitingUnit& waiting, Pass& pass);
+  void StopVictim(const Victim& victim, const WaitingUnit& waiting, Pass& pass);
   TaskOrder OrderOf(const ActiveRun& run) const;
   std::vector<TaskOrder> OrdersOf(const InstanceId& agent,
                                   const RunIndex::Runs& runs_here,
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -444,7 +444,7 @@
     return false;
   }
   for (const std::size_t victim : plan->victims) {
-    this->StopVictim(pass.victims->Victims()[victim], waiting, pass);
+    this->StopVictim(pass.victims->MarkStopped(victim), waiting, pass);
   }
   for (const std::size_t worker : plan->workers) {
     pass.map.Reserve(worker, waiting.unit.Spec().PlacementDemand());
@@ -476,10 +476,9 @@
                                           this->settings.max_guarantee_wait_ms);
 }
 
-void JobPlanner::StopVictim(Victim& victim,
+void JobPlanner::StopVictim(const Victim& victim,
                             const WaitingUnit& waiting,
                             Pass& pass) {
-  victim.stopped = true;
   for (const ActiveRun& run : victim.runs) {
     run.task->phase = TaskPhase::kStopping;
     const bool kept = run.spec->checkpointable;
--- a/packages/workload/preemption.cc
+++ b/packages/workload/preemption.cc
@@ -59,7 +59,8 @@
         pool(pool),
         rights(rights),
         demand(unit.Spec().PlacementDemand()),
-        selected(pool.Victims().size(), false) {}
+        selected(pool.Victims().size(), false),
+        stops_left(pool.StopsLeft()) {}
 
   // After each task only the evictions of the workers that it changed are
   // computed again.
@@ -106,12 +107,14 @@
     }
     Resources available = site.future_free;
     std::vector<std::pair<std::size_t, Resources>> chosen;
+    StopsLeft left = this->stops_left;
     for (const auto& [victim, freed] : this->pool.OnWorker(worker)) {
       if (this->demand.FitsIn(available)) {
         break;
       }
       if (!this->selected[victim] &&
-          this->rights.Allows(this->pool.Victims()[victim])) {
+          this->rights.Allows(this->pool.Victims()[victim]) &&
+          TakeStops(this->pool.Victims()[victim], left)) {
         available += freed;
         chosen.emplace_back(victim, freed);
       }
@@ -143,9 +146,13 @@
     this->plan.cost += eviction.cost;
     this->plan.lost_core_s += eviction.lost_core_s;
     std::set<std::size_t> changed = {worker};
+    bool stops_taken = false;
     for (const std::size_t victim : eviction.victims) {
       this->selected[victim] = true;
       this->plan.victims.push_back(victim);
+      TakeStops(this->pool.Victims()[victim], this->stops_left);
+      stops_taken =
+          stops_taken || this->pool.Victims()[victim].limited_step != nullptr;
       for (const auto& [freed_on, freed] : this->pool.Victims()[victim].freed) {
         const auto other = this->sites.find(freed_on);
         if (other != this->sites.end()) {
@@ -154,18 +161,40 @@
         }
       }
     }
+    if (stops_taken) {
+      for (const auto& [index, other] : this->sites) {
+        changed.insert(index);
+      }
+    }
     for (const std::size_t index : changed) {
       Site& other = this->sites.at(index);
       other.eviction = this->FindEviction(index, other);
     }
   }
 
+  using StopsLeft = std::map<const StepState*, std::int64_t>;
+
+  // Returns false when the step of the victim may not miss so many tasks.
+  static bool TakeStops(const Victim& victim, StopsLeft& left) {
+    if (victim.limited_step == nullptr) {
+      return true;
+    }
+    const auto tasks = static_cast<std::int64_t>(victim.runs.size());
+    std::int64_t& step_left = left.at(victim.limited_step);
+    if (step_left < tasks) {
+      return false;
+    }
+    step_left -= tasks;
+    return true;
+  }
+
   const PlacementUnit& unit;
   const CapacityMap& map;
   const VictimPool& pool;
   const PreemptionRights& rights;
   Resources demand;
   std::vector<bool> selected;
+  StopsLeft stops_left;
   std::map<std::size_t, Site> sites;
   PreemptionPlan plan;
 };
@@ -200,8 +229,8 @@
       AddRun(run, worker, now, this->victims[victim]);
     }
   }
-  this->LimitUnavailability();
   for (std::size_t v = 0; v < this->victims.size(); ++v) {
+    this->LimitUnavailability(this->victims[v]);
     for (const auto& [worker, freed] : this->victims[v].freed) {
       this->by_worker[worker].emplace_back(v, freed);
     }
@@ -213,27 +242,30 @@
   }
 }
 
-// Of each step with max_unavailable, keeps only as many victims as may be
-// unavailable in addition to those that already are.
-void VictimPool::LimitUnavailability() {
-  std::map<const StepState*, std::int64_t> allowed;
-  std::erase_if(this->victims, [&](const Victim& victim) {
-    const ActiveRun& run = victim.runs.front();
-    if (!run.spec->long_running || run.spec->max_unavailable == 0) {
-      return false;
-    }
-    const auto unavailable =
-        std::ranges::count_if(run.step->tasks, [](const TaskState& task) {
-          return task.phase != TaskPhase::kRunning;
-        });
-    auto& left =
-        allowed
-            .emplace(run.step, run.spec->max_unavailable -
-                                   static_cast<std::int64_t>(unavailable))
-            .first->second;
-    left -= static_cast<std::int64_t>(victim.runs.size());
-    return left < 0;
-  });
+void VictimPool::LimitUnavailability(Victim& victim) {
+  const ActiveRun& run = victim.runs.front();
+  if (!run.spec->long_running || run.spec->max_unavailable == 0) {
+    return;
+  }
+  victim.limited_step = run.step;
+  if (this->stops_left.contains(run.step)) {
+    return;
+  }
+  const auto unavailable = std::ranges::count_if(
+      run.step->tasks,
+      [](const TaskState& task) { return task.phase != TaskPhase::kRunning; });
+  this->stops_left[run.step] =
+      run.spec->max_unavailable - static_cast<std::int64_t>(unavailable);
+}
+
+const Victim& VictimPool::MarkStopped(std::size_t victim) {
+  Victim& stopped = this->victims[victim];
+  stopped.stopped = true;
+  if (stopped.limited_step != nullptr) {
+    this->stops_left[stopped.limited_step] -=
+        static_cast<std::int64_t>(stopped.runs.size());
+  }
+  return stopped;
 }
 
 std::optional<PreemptionPlan> PlanPreemption(
--- a/packages/workload/preemption.h
+++ b/packages/workload/preemption.h
@@ -2,6 +2,8 @@
 #define PACKAGES_WORKLOAD_PREEMPTION_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -22,6 +24,8 @@
   bool guaranteed = false;
   /// Stopped earlier in this planning pass.
   bool stopped = false;
+  /// The tasks' step if it has max_unavailable, else null.
+  const StepState* limited_step = nullptr;
   /// Core-seconds of work that are lost when the tasks are stopped.
   double lost_core_s = 0;
   /// Lost work of all tasks, weighted by priority, with a constant added per
@@ -37,9 +41,17 @@
              const std::set<JobId>& guaranteed_jobs,
              Instant now);
 
-  std::vector<Victim>& Victims() { return this->victims; }
   const std::vector<Victim>& Victims() const { return this->victims; }
 
+  /// Number of tasks of each step with max_unavailable that may be stopped in
+  /// addition to those that are already unavailable.
+  const std::map<const StepState*, std::int64_t>& StopsLeft() const {
+    return this->stops_left;
+  }
+
+  /// Excludes a victim from later plans of this pass, and returns it.
+  const Victim& MarkStopped(std::size_t victim);
+
   /// Returns the victims on a worker, the cheapest first, each with the
   /// resources that it frees there.
   const std::vector<std::pair<std::size_t, Resources>>& OnWorker(
@@ -48,9 +60,10 @@
   }
 
  private:
-  void LimitUnavailability();
+  void LimitUnavailability(Victim& victim);
 
   std::vector<Victim> victims;
+  std::map<const StepState*, std::int64_t> stops_left;
   std::vector<std::vector<std::pair<std::size_t, Resources>>> by_worker;
 };
 
--- a/tests/workload/placement_test.cc
+++ b/tests/workload/placement_test.cc
@@ -176,32 +176,123 @@
   }));
 }
 
+/// A service with one task on each of some workers, and a unit that preempts
+/// it.
+class ServiceCluster {
+ public:
+  explicit ServiceCluster(const std::vector<std::uint32_t>& worker_of_task) {
+    StepSpec step;
+    step.tasks = static_cast<std::uint32_t>(worker_of_task.size());
+    step.long_running = true;
+    step.max_unavailable = 2;
+    step.demand = {0, 0, 2};
+    Submission submission;
+    submission.id = JobId("service");
+    submission.service = ServiceId("s");
+    submission.priority = 2;
+    submission.spec.steps = {step};
+    this->job = Job::Of(submission);
+    for (std::uint32_t i = 0; i < worker_of_task.size(); ++i) {
+      Worker& worker =
+          this->workers[InstanceId("a" + std::to_string(worker_of_task[i]))];
+      worker.agent = InstanceId("a" + std::to_string(worker_of_task[i]));
+      worker.description.incarnation = {worker.agent, WorkerId("w"), 1};
+      worker.description.availability = WorkerAvailability::kReady;
+      worker.description.service = ServiceId("s");
+      worker.description.capacity = kCapacity;
+      worker.reachable = true;
+      this->Task(i).phase = TaskPhase::kRunning;
+      this->Task(i).worker = worker.description.incarnation;
+    }
+    this->runs.Update(this->job);
+  }
+
+  TaskState& Task(std::uint32_t index) {
+    return this->job.occurrences[0].steps[0].tasks[index];
+  }
+
+  CapacityMap Map() {
+    this->runs.Update(this->job);
+    return CapacityMap(this->workers, this->runs, Instant{0});
+  }
+
+  /// Plans a task of priority 0 that needs this many accelerators.
+  static std::optional<PreemptionPlan> Plan(CapacityMap& map,
+                                            const VictimPool& pool,
+                                            std::int64_t accelerators,
+                                            std::uint32_t tasks = 1) {
+    StepSpec step;
+    step.tasks = tasks;
+    step.demand = {0, 0, accelerators};
+    Submission submission;
+    submission.id = JobId("urgent");
+    submission.service = ServiceId("s");
+    submission.spec.steps = {step};
+    PlacementUnit unit;
+    unit.submission = &submission;
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+      unit.tasks.push_back(i);
+    }
+    return PlanPreemption(unit, map,
+                          {CapacityKind::kFutureFree, true, true, true}, pool,
+                          {0, false, 1e9});
+  }
+
+  std::map<InstanceId, Worker> workers;
+
+ private:
+  Job job;
+  RunIndex runs;
+};
+
 TEST_CASE("a step loses no more tasks to preemption than max_unavailable") {
   // Guards against one preemption that stops several replicas of a service.
-  std::map<InstanceId, Worker> workers;
-  Worker& worker = workers[InstanceId("a")];
-  worker.description.incarnation = {InstanceId("a"), WorkerId("w"), 1};
-  worker.description.capacity = kCapacity;
-  Submission submission;
-  submission.id = JobId("service");
-  submission.priority = 2;
-  StepSpec step;
-  step.tasks = 4;
-  step.long_running = true;
-  step.max_unavailable = 2;
-  submission.spec.steps = {step};
-  Job job = Job::Of(submission);
-  for (TaskState& task : job.occurrences[0].steps[0].tasks) {
-    task.phase = TaskPhase::kRunning;
-    task.worker = worker.description.incarnation;
+  ServiceCluster cluster({0, 0, 0, 0});
+  CapacityMap map = cluster.Map();
+  VictimPool pool(map, {}, Instant{0});
+  CHECK(!ServiceCluster::Plan(map, pool, 6).has_value());
+  const auto both = ServiceCluster::Plan(map, pool, 4);
+  REQUIRE(both.has_value());
+  CHECK(both->victims.size() == 2);
+  // Later plans of the same pass count what earlier ones stop.
+  pool.MarkStopped(both->victims[0]);
+  CHECK(ServiceCluster::Plan(map, pool, 2).has_value());
+  CHECK(!ServiceCluster::Plan(map, pool, 4).has_value());
+  pool.MarkStopped(both->victims[1]);
+  CHECK(!ServiceCluster::Plan(map, pool, 2).has_value());
+
+  cluster.Task(0).phase = TaskPhase::kStarting;
+  CapacityMap later_map = cluster.Map();
+  const VictimPool later(later_map, {}, Instant{0});
+  CHECK(ServiceCluster::Plan(later_map, later, 2).has_value());
+  CHECK(!ServiceCluster::Plan(later_map, later, 4).has_value());
+}
+
+TEST_CASE("a unit of several tasks counts all that it stops of a step") {
+  // Guards against a plan that stops more replicas on several workers than on
+  // one.
+  ServiceCluster cluster({0, 1, 2, 3});
+  CapacityMap map = cluster.Map();
+  const VictimPool pool(map, {}, Instant{0});
+  const auto two = ServiceCluster::Plan(map, pool, 8, 2);
+  REQUIRE(two.has_value());
+  CHECK(two->victims.size() == 2);
+  CHECK(!ServiceCluster::Plan(map, pool, 8, 3).has_value());
+}
+
+TEST_CASE("a service that may miss tasks is preempted where that makes room") {
+  // Guards against a guarantee that is withheld because the tasks that may be
+  // stopped are on workers on which the unit does not fit anyway.
+  ServiceCluster cluster({0, 1, 2, 3});
+  for (const char* full : {"a0", "a1"}) {
+    cluster.workers[InstanceId(full)].description.capacity.accelerators = 4;
   }
-  RunIndex runs;
-  runs.Update(job);
-  const CapacityMap map(workers, runs, Instant{0});
-  CHECK(VictimPool(map, {}, Instant{0}).Victims().size() == 2);
-  job.occurrences[0].steps[0].tasks[0].phase = TaskPhase::kStarting;
-  runs.Update(job);
-  CHECK(VictimPool(map, {}, Instant{0}).Victims().size() == 1);
+  CapacityMap map = cluster.Map();
+  const VictimPool pool(map, {}, Instant{0});
+  const auto plan = ServiceCluster::Plan(map, pool, 8);
+  REQUIRE(plan.has_value());
+  CHECK(plan->victims.size() == 1);
+  CHECK(plan->workers.front() >= 2);
 }
 
 }  // namespace
