Count a task that starts up as unavailable

A task that had been stopped and started again counted as available as soon as its worker listed it, before it was at work.

Change: a task of a step with max_unavailable is available when it runs at 100 percent, the progress of a long-running task that is at work.

Test: "a task of a service that starts up is not available" failed before.

--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -105,6 +105,10 @@
          phase == JobPhase::kCancelled;
 }
 
+/// Progress of a task that has finished its work, or of a long-running task
+/// that is at work after its startup.
+inline constexpr std::uint32_t kCompletePercent = 100;
+
 /// State of one task and of its latest run.
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -13,9 +13,6 @@
 /// less than one percent.
 constexpr std::int64_t kStallPercentOfEstimate = 30;
 
-/// Progress of a task that has finished its work.
-constexpr std::uint32_t kCompletePercent = 100;
-
 std::int64_t PeakAccelerators(const Job& job) {
   std::int64_t most = 0;
   for (const StepSpec& step : job.submission.spec.steps) {
--- a/packages/workload/preemption.cc
+++ b/packages/workload/preemption.cc
@@ -251,9 +251,11 @@
   if (this->stops_left.contains(run.step)) {
     return;
   }
-  const auto unavailable = std::ranges::count_if(
-      run.step->tasks,
-      [](const TaskState& task) { return task.phase != TaskPhase::kRunning; });
+  const auto unavailable =
+      std::ranges::count_if(run.step->tasks, [](const TaskState& task) {
+        return task.phase != TaskPhase::kRunning ||
+               task.percent < kCompletePercent;
+      });
   this->stops_left[run.step] =
       run.spec->max_unavailable - static_cast<std::int64_t>(unavailable);
 }
--- a/tests/workload/placement_test.cc
+++ b/tests/workload/placement_test.cc
@@ -202,6 +202,7 @@
       worker.description.capacity = kCapacity;
       worker.reachable = true;
       this->Task(i).phase = TaskPhase::kRunning;
+      this->Task(i).percent = 100;
       this->Task(i).worker = worker.description.incarnation;
     }
     this->runs.Update(this->job);
@@ -268,6 +269,17 @@
   CHECK(!ServiceCluster::Plan(later_map, later, 4).has_value());
 }
 
+TEST_CASE("a task of a service that starts up is not available") {
+  // Guards against a service of which more tasks are stopped while those that
+  // were stopped before have started again and are not at work yet.
+  ServiceCluster cluster({0, 0, 0, 0});
+  cluster.Task(3).percent = 0;
+  CapacityMap map = cluster.Map();
+  const VictimPool pool(map, {}, Instant{0});
+  CHECK(ServiceCluster::Plan(map, pool, 2).has_value());
+  CHECK(!ServiceCluster::Plan(map, pool, 4).has_value());
+}
+
 TEST_CASE("a unit of several tasks counts all that it stops of a step") {
   // Guards against a plan that stops more replicas on several workers than on
   // one.
