Do not take a pause of the agent for a silent worker

A worker is unresponsive only after a second request without an answer.

Also: records without ranges no longer build the list of a job's tasks.

--- a/packages/worker_agent/silence_monitor.h
+++ b/packages/worker_agent/silence_monitor.h
@@ -34,6 +34,8 @@
   std::int64_t max_silence_ms;
   /// Boot clock: when the worker last returned its lists.
   Instant answered_at = Instant::Never();
+  /// Number of requests without an answer since then.
+  std::uint32_t failures = 0;
   bool unresponsive = false;
 };
 
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -115,6 +115,10 @@
 
 /// Returns whether the ranges lie within the tasks of the job.
 bool ApplyRanges(const records::JobRecord& record, Job& job) {
+  const auto& ranges = record.done_ranges();
+  if (ranges.empty()) {
+    return true;
+  }
   std::vector<TaskState*> tasks;
   for (Occurrence& occurrence : job.occurrences) {
     for (StepState& step : occurrence.steps) {
@@ -123,7 +127,6 @@
       }
     }
   }
-  const auto& ranges = record.done_ranges();
   if (ranges.size() % 2 != 0) {
     return false;
   }
