--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -552,6 +552,7 @@
         run = Run(task, number, body.get("last_checkpoint", ""), self.work_ms_of(task))
         self.running[task] = run
         self.highest[task] = number
+        self.runs.texts.add(body.get("task_spec", ""))
         self.runs.begin(self, run)
         return 200, {"clock_ms": self.clock()}
 
@@ -578,6 +579,8 @@
         self.begun = {}
         self.ends = {}
         self.quiet = set()
+        # Every `task_spec` that a runner was told to run.
+        self.texts = set()
 
     def begin(self, runner, run):
         self.begun.setdefault(run.task, []).append((runner.id, run.run))
