--- a/review/12/play.py
+++ b/review/12/play.py
@@ -36,6 +36,7 @@
     site.runs.quiet.add(wide)
     try:
         await site.start()
+        site.share_processor()
         other = site.client("b")
         ordinary = {"task_spec": "text", "steps": [
             {"count": 2, "cpu": 1000, "mem_mb": 256, "estimate_ms": 1000}]}
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -120,6 +120,8 @@
         self.server = server
         self.buffer = b""
         self.waiting = None
+        # Nothing passes any more, in either direction, and nobody is told.
+        self.silent = False
 
     def connection_made(self, transport):
         self.transport = transport
@@ -134,6 +136,8 @@
             self.waiting.cancel()
 
     def data_received(self, data):
+        if self.silent:
+            return
         self.buffer += data
         if self.waiting is None:
             self.serve()
@@ -173,6 +177,8 @@
         self.serve()
 
     def respond(self, status, answer):
+        if self.silent:
+            return
         if not isinstance(answer, bytes):
             answer = json.dumps(answer).encode()
         self.transport.write(
@@ -732,6 +738,61 @@
         return 0
 
 
+class ProcessorShare:
+    """Gives each process the processor share of its machine, as DEPLOY.md tells of a
+    quota: "The core runs at full speed until the quota is used up, and then runs not at
+    all for the rest of that tenth of a second." By SIGSTOP and SIGCONT."""
+
+    WINDOW_S = 0.1
+
+    def __init__(self, shares):
+        self.shares = shares
+        self.left = {process: share * self.WINDOW_S for process, share in shares.items()}
+        self.seen = {}
+        self.stopped = set()
+
+    @staticmethod
+    def used_s(process):
+        total = 0
+        folder = f"/proc/{process.process.pid}/task"
+        try:
+            for thread in os.listdir(folder):
+                with open(f"{folder}/{thread}/schedstat", encoding="ascii") as file:
+                    total += int(file.read().split()[0])
+        except (OSError, IndexError, ValueError):
+            pass
+        return total / 1e9
+
+    def charge(self, process):
+        used = self.used_s(process)
+        pid, before = self.seen.get(process, (None, 0.0))
+        if pid == process.process.pid and used > before:
+            self.left[process] -= used - before
+        self.seen[process] = (process.process.pid, used)
+
+    async def run(self):
+        try:
+            while True:
+                window_ends = time.monotonic() + self.WINDOW_S
+                for process, share in self.shares.items():
+                    quota = share * self.WINDOW_S
+                    self.left[process] = min(quota, self.left[process] + quota)
+                    if self.left[process] > 0 and process in self.stopped:
+                        self.stopped.discard(process)
+                        process.signal(signal.SIGCONT)
+                while time.monotonic() < window_ends:
+                    for process in self.shares:
+                        if process.alive() and process not in self.stopped:
+                            self.charge(process)
+                            if self.left[process] <= 0:
+                                self.stopped.add(process)
+                                process.signal(signal.SIGSTOP)
+                    await asyncio.sleep(0.004)
+        finally:
+            for process in self.stopped:
+                process.signal(signal.SIGCONT)
+
+
 class Site:
     """A small deployment: the store, gateways, and runners with their agents."""
 
@@ -747,7 +808,7 @@
             self.add_gateway(f"edge-{i + 1}", f"127.0.1.{i + 1}")
         for i in range(runners):
             self.add_runner(i, work_ms_of or (lambda task: 1000))
-        self.watch = None
+        self.sharing = None
 
     def instance(self, name, address, memory_mb):
         return {
@@ -814,7 +875,8 @@
 
         return {
             "version": 7,
-            "routes": [route("r-a", "/lohu930/", 1, 4), route("r-b", "/pule252/", 1, 4)],
+            "routes": [route("r-a", "/lohu930/", 1, 4), route("r-b", "/pule252/", 1, 4),
+                       route("r-urgent", "/pufi791/", 0, 3), route("r-low", "/tola318/", 2, 4)],
             "services": [{"name": self.service, "health_path": "/health", "max_conns": 64,
                           "protocol": "h1", "admission_check": False}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
@@ -824,9 +886,10 @@
             ],
         }
 
-    def client(self, queue="a"):
-        prefix = "/lohu930/" if queue == "a" else "/pule252/"
-        return Client(self, "nony24.example", prefix, "key-" + queue)
+    def client(self, tenant="a", prefix=None):
+        """A client of a tenant, on the tenant's own queue unless another is named."""
+        own = "/lohu930/" if tenant == "a" else "/pule252/"
+        return Client(self, "nony24.example", prefix or own, "key-" + tenant)
 
     async def start(self):
         self.store.put("keyed.op", "config", json.dumps(self.configuration()).encode())
@@ -848,6 +911,12 @@
         await asyncio.sleep(4)
         self.record("all gateways are ready")
 
+    def share_processor(self):
+        """Gives gateways 0.25 and agents 0.15 of a core from now on, as on the site."""
+        shares = {gateway: 0.25 for gateway in self.gateways}
+        shares.update({agent: 0.15 for agent in self.agents})
+        self.sharing = asyncio.ensure_future(ProcessorShare(shares).run())
+
     async def keep_platform(self, limit_memory):
         """What the platform does with processes: one over `memory_mb` is killed,
         and one that has ended is started again after a short delay."""
@@ -873,6 +942,8 @@
             await asyncio.sleep(0.02)
 
     async def stop(self):
+        if self.sharing is not None:
+            self.sharing.cancel()
         for process in self.gateways + self.agents:
             await process.kill()
         self.store.http.stop()
