--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -396,6 +396,8 @@
     """One runner and its machine; `restart()` is a new life under a new id."""
 
     checkpoint_bytes = 16
+    # Time that a runner takes to answer a start.
+    start_answer_s = 0.0
 
     def __init__(self, name, address, agent_heartbeat, service, zone, capacity, rack,
                  work_ms_of, record, runs):
@@ -536,6 +538,8 @@
         if refusal is not None:
             return refusal
         if request.path == "/run-start":
+            if self.start_answer_s > 0:
+                return self.start_later(body)
             return self.start_run(body)
         if request.path == "/run-stop":
             run = self.running.get(body["task"])
@@ -549,6 +553,10 @@
             return self.hold(body)
         return 200, {"clock_ms": self.clock()}
 
+    async def start_later(self, body):
+        await asyncio.sleep(self.start_answer_s)
+        return self.start_run(body)
+
     def start_run(self, body):
         task, number = body["task"], body["run"]
         self.extend(body)
