Keep states only for the tasks of a job that are at work

Cause: Job::Of created a state for each task of each occurrence when the submission was read, in the view of each gateway, in the planner, and again for each progress record that was decoded. Ruled out: large records (the job has none), and growth with passes (none was run): a view and a planner that read the submission took 335 MB, with forty jobs of 288 occurrences 448 MB.

Change: Job, Occurrence and StepState hold only what is at work; completed tasks, steps and occurrences are intervals of numbers. Of the occurrences that are due at once, a job opens a limited number. No limit of a submission changed.

--- a/packages/workload/crash_isolation.cc
+++ b/packages/workload/crash_isolation.cc
@@ -25,18 +25,24 @@
                           const TaskState& task,
                           bool gang,
                           Instant read_at) {
-  const Instant since =
-      gang ? std::ranges::max(step.tasks, {}, &TaskState::listed_since)
-                 .listed_since
-           : task.listed_since;
-  return since != Instant::Never() && read_at >= since.After(kProbationMs);
+  const auto outlived = [read_at](const TaskState& run) {
+    return run.listed_since != Instant::Never() &&
+           read_at >= run.listed_since.After(kProbationMs);
+  };
+  return outlived(task) &&
+         (!gang || std::ranges::all_of(step.tasks, [&](const auto& member) {
+           return outlived(member.second);
+         }));
 }
 
 std::uint32_t CountWorkerCrashes(const StepState& step,
                                  const PlacementUnit& unit) {
   std::uint32_t most = 0;
   for (const std::uint32_t index : unit.tasks) {
-    most = std::max(most, step.tasks[index].worker_crashes);
+    const auto task = step.tasks.find(index);
+    if (task != step.tasks.end()) {
+      most = std::max(most, task->second.worker_crashes);
+    }
   }
   return most;
 }
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -3,12 +3,13 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
-#include <vector>
 
 #include "packages/core/ids.h"
 #include "packages/core/name_table.h"
 #include "packages/core/time.h"
+#include "packages/workload/interval_set.h"
 #include "packages/workload/job_spec.h"
 
 namespace carobrill::workload {
@@ -160,35 +161,58 @@
   bool HoldsResources() const { return workload::HoldsResources(this->phase); }
 };
 
-/// The tasks of one step of one occurrence.
+/// The tasks of one step of one occurrence. Has a state only for the tasks that
+/// have run or have been considered by themselves; all others wait for their
+/// first run.
 struct StepState {
-  std::vector<TaskState> tasks;
+  /// Tasks by index.
+  std::map<std::uint32_t, TaskState> tasks;
+  /// Indexes of the completed tasks.
+  IntervalSet done;
   /// Number of failed runs of the whole gang, and the latest of them; 0 for
   /// none.
   std::uint32_t gang_failures = 0;
   std::uint32_t last_failed_run = 0;
 
-  bool IsDone() const;
+  /// @{
+  /// Kept in memory by the planning process only, never stored.
+  /// Boot clock: TaskState::waiting_since of all tasks without a state.
+  Instant waiting_since;
+  /// No task before this index is without a state, unless it has completed.
+  std::uint32_t first_without_state = 0;
+  /// @}
+
+  /// Returns TaskState::waiting_since of any task.
+  Instant WaitingSince(std::uint32_t index) const;
 };
 
-/// One execution of all steps of a job.
+/// One execution of all steps of a job. Has a state only for the steps that
+/// have begun or could begin, and have not completed.
 struct Occurrence {
-  std::vector<StepState> steps;
-
-  bool IsDone() const;
+  /// Steps by number.
+  std::map<std::uint32_t, StepState> steps;
+  /// Numbers of the completed steps.
+  IntervalSet done_steps;
 };
 
-/// A job and its progress.
+/// A job and its progress. Its size follows the tasks that are at work, not
+/// those that the job consists of: a job may have billions.
 struct Job {
   Submission submission;
   JobPhase phase = JobPhase::kQueued;
   /// Set when a client has cancelled the job.
   bool cancel_requested = false;
-  std::vector<Occurrence> occurrences;
+  /// Occurrences that are due or have begun, and have not completed.
+  std::map<std::uint32_t, Occurrence> occurrences;
+  /// Numbers of the completed occurrences.
+  IntervalSet done_occurrences;
   /// Wall-clock time (Unix ms) at which the phase became terminal.
   Instant ended_at;
   /// Boot clock: the same, kept in memory by the planning process only.
   Instant final_since;
+  /// No occurrence before this number is missing from `occurrences`, unless it
+  /// has completed. Kept in memory by the planning process only.
+  std::uint32_t first_unopened = 0;
 
   /// Creates a job whose tasks are all waiting for their first run.
   static Job Of(Submission submission);
@@ -197,8 +221,38 @@
     return this->submission.spec.steps[key.step];
   }
 
-  /// Returns the state of a task, or null when the job has no such task.
+  /// True when the job consists of this task, among others.
+  bool HasTask(const TaskKey& key) const;
+
+  /// @{
+  /// Returns the state of a task or of a step, or null when it has none: it has
+  /// completed, waits for its first run, or does not exist.
   TaskState* Find(const TaskKey& key);
+  const StepState* FindStep(std::uint32_t occurrence, std::uint32_t step) const;
+  /// @}
+
+  /// Returns the state of a task that the job consists of and that has not
+  /// completed; adds the state if the task has none.
+  TaskState& Open(const TaskKey& key);
+
+  /// Marks tasks of a step as completed. Their states stay until Release(), so
+  /// that an index of them can be updated first.
+  void Complete(std::uint32_t occurrence,
+                std::uint32_t step,
+                const IntervalSet::Interval& tasks);
+
+  /// Marks whole occurrences as completed and drops their states.
+  void CompleteOccurrences(const IntervalSet::Interval& completed);
+
+  /// Drops the state of a task that has completed, and those of its step or its
+  /// occurrence if all of it has.
+  void Release(const TaskKey& key);
+
+  bool IsStepDone(std::uint32_t occurrence, std::uint32_t step) const;
+  bool AllOccurrencesDone() const {
+    return this->done_occurrences.Count() ==
+           this->submission.spec.Occurrences();
+  }
 
   /// Wall-clock time (Unix ms) at which an occurrence is due.
   Instant DueAt(std::uint32_t occurrence) const;
--- a/packages/workload/job_objective.cc
+++ b/packages/workload/job_objective.cc
@@ -102,18 +102,23 @@
 
 std::int64_t JobObjective::RemainingMs(const Job& job,
                                        std::uint32_t occurrence) const {
-  const auto& steps = job.occurrences[occurrence].steps;
   const JobSpec& spec = job.submission.spec;
   return LongestChain(spec, [&](std::size_t s) {
+    const auto number = static_cast<std::uint32_t>(s);
+    if (job.IsStepDone(occurrence, number)) {
+      return std::int64_t{0};
+    }
     const std::int64_t estimate = spec.steps[s].estimate_ms;
     std::int64_t running = 0;
-    std::int64_t waiting = 0;
-    for (const TaskState& task : steps[s].tasks) {
-      if (task.phase == TaskPhase::kWaiting) {
-        ++waiting;
-      } else if (task.phase != TaskPhase::kDone) {
-        running = std::max(
-            running, estimate * (100 - std::min(task.percent, 100U)) / 100);
+    std::int64_t waiting = spec.steps[s].tasks;
+    if (const StepState* step = job.FindStep(occurrence, number)) {
+      waiting -= step->done.Count();
+      for (const auto& [index, task] : step->tasks) {
+        if (task.HoldsResources()) {
+          --waiting;
+          running = std::max(
+              running, estimate * (100 - std::min(task.percent, 100U)) / 100);
+        }
       }
     }
     const std::int64_t waves =
--- a/packages/workload/job_planner.cc
+++ b/packages/workload/job_planner.cc
@@ -24,8 +24,8 @@
 
 /// True when a run of the task or of its gang has failed.
 bool HasFailed(const Job& job, const TaskKey& key) {
-  const StepState& step = job.occurrences[key.occurrence].steps[key.step];
-  return step.gang_failures > 0 || step.tasks[key.index].failures > 0;
+  const StepState& step = job.occurrences.at(key.occurrence).steps.at(key.step);
+  return step.gang_failures > 0 || step.tasks.at(key.index).failures > 0;
 }
 
 std::string LossReason(bool known, bool knows_incarnation) {
@@ -52,9 +52,11 @@
   if (known != this->jobs.end()) {
     this->runs.Remove(known->second);
   }
-  for (Occurrence& occurrence : job.occurrences) {
-    for (StepState& step : occurrence.steps) {
-      for (TaskState& task : step.tasks) {
+  for (auto& [k, occurrence] : job.occurrences) {
+    for (auto& [s, step] : occurrence.steps) {
+      step.waiting_since = {};
+      step.first_without_state = 0;
+      for (auto& [i, task] : step.tasks) {
         task.indexed_phase = TaskPhase::kWaiting;
         task.waiting_since = {};
         task.ordered_at = now;
@@ -65,6 +67,7 @@
       }
     }
   }
+  job.first_unopened = 0;
   this->next_stall_check = now;
   this->runs.Update(
       this->jobs.insert_or_assign(id, std::move(job)).first->second);
@@ -191,8 +194,9 @@
                                   Instant read_at) {
   task.listed_since = std::min(task.listed_since, read_at);
   if (task.outlived_probation ||
-      !HasOutlivedProbation(job.occurrences[key.occurrence].steps[key.step],
-                            task, job.SpecOf(key).gang, read_at)) {
+      !HasOutlivedProbation(
+          job.occurrences.at(key.occurrence).steps.at(key.step), task,
+          job.SpecOf(key).gang, read_at)) {
     return;
   }
   task.outlived_probation = true;
@@ -267,6 +271,7 @@
     return;
   }
   this->MarkChanged(job);
+  job.Release(report.task);
   this->RecordEvent(kind, report.task, report.run, incarnation.id,
                     std::string(NameOf(report.end)),
                     time.now.ms - ordered_at.ms);
@@ -439,7 +444,7 @@
                       now.ms - run.task->ordered_at.ms);
     run.task->phase = TaskPhase::kStopping;
     if (run.spec->gang) {
-      StopStep(job.occurrences[run.key.occurrence].steps[run.key.step]);
+      StopStep(job.occurrences.at(run.key.occurrence).steps.at(run.key.step));
     }
     this->MarkChanged(job);
   }
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -234,13 +234,26 @@
     /// Speed of a worker on which the unit may still meet its objective; 0 when
     /// any will do.
     double required_speed = 0;
+    /// Number of waiting tasks of the step; `unit` may list fewer.
+    std::int64_t waiting_tasks = 0;
     /// The account holds far more than others that wait at the same rank.
     bool large_holder = false;
 
+    StepState& Step() const {
+      return this->job->occurrences.at(this->unit.occurrence)
+          .steps.at(this->unit.step);
+    }
+    /// Returns the state of a task, which is added if the task has none.
     TaskState& Task(std::uint32_t index) const {
-      return this->job->occurrences[this->unit.occurrence]
-          .steps[this->unit.step]
-          .tasks[index];
+      return this->job->Open({this->job->submission.id, this->unit.occurrence,
+                              this->unit.step, index});
+    }
+    /// Boot clock: earliest time of the next search for tasks to preempt.
+    Instant PreemptionSearchAt() const {
+      const auto& tasks = this->Step().tasks;
+      const auto first = tasks.find(this->unit.tasks.front());
+      return first == tasks.end() ? Instant{}
+                                  : first->second.preemption_search_at;
     }
   };
 
@@ -261,11 +274,14 @@
   void MarkEvacuated(Worker& worker) const;
   std::set<JobId> SelectGuaranteedJobs() const;
   std::vector<WaitingUnit> CollectWaitingUnits(const TransitionTime& time);
-  void CollectStep(Job& job,
-                   std::uint32_t occurrence,
-                   std::uint32_t step,
-                   const TransitionTime& time,
-                   std::vector<WaitingUnit>& waiting);
+  void CollectJob(Job& job,
+                  const TransitionTime& time,
+                  std::vector<WaitingUnit>& waiting);
+  void CollectOccurrence(Job& job,
+                         std::uint32_t occurrence,
+                         const TransitionTime& time,
+                         std::vector<std::uint32_t>& listed,
+                         std::vector<WaitingUnit>& waiting);
   void AddWaitingUnit(Job& job,
                       PlacementUnit unit,
                       const TransitionTime& time,
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -1,6 +1,7 @@
 // The part of JobPlanner that selects which waiting tasks run next, and where.
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -29,52 +30,145 @@
 /// Maximum number of workers that a policy accepts in one request.
 constexpr std::size_t kMaxAdviceCandidates = 100;
 
+/// Number of waiting tasks of a step, of all occurrences of its job, from which
+/// no further ones are listed in one pass.
+constexpr std::uint32_t kMaxListedTasks = 256;
+
+/// Number of steps of the occurrences of one job that may have a state, unless
+/// a single occurrence has more.
+constexpr std::size_t kMaxOpenSteps = 10'000;
+
+bool IsWaiting(const TaskState& task, Instant now) {
+  return task.phase == TaskPhase::kWaiting && now >= task.not_before;
+}
+
+/// Returns all tasks of a gang, or none while some cannot be placed. A gang
+/// waits until all of its tasks can run.
+std::vector<std::uint32_t> ListGang(const StepSpec& spec,
+                                    const StepState& step,
+                                    Instant now) {
+  std::vector<std::uint32_t> tasks;
+  const bool all_wait = step.done.Count() == 0 &&
+                        std::ranges::all_of(step.tasks, [&](const auto& entry) {
+                          return IsWaiting(entry.second, now);
+                        });
+  for (std::uint32_t i = 0; all_wait && i < spec.tasks; ++i) {
+    tasks.push_back(i);
+  }
+  return tasks;
+}
+
+/// Returns up to `most` waiting tasks in ascending order. They are collected in
+/// one unit, because they share their rank.
+std::vector<std::uint32_t> ListTasks(const StepSpec& spec,
+                                     StepState& step,
+                                     Instant now,
+                                     std::size_t most) {
+  std::vector<std::uint32_t> with_state;
+  for (const auto& [index, task] : step.tasks) {
+    if (with_state.size() < most && IsWaiting(task, now)) {
+      with_state.push_back(index);
+    }
+  }
+  const auto skip = [&](std::uint32_t index) {
+    return step.tasks.contains(index) || step.done.Contains(index);
+  };
+  while (step.first_without_state < spec.tasks &&
+         skip(step.first_without_state)) {
+    ++step.first_without_state;
+  }
+  std::vector<std::uint32_t> without_state;
+  for (std::uint32_t i = step.first_without_state;
+       i < spec.tasks && without_state.size() < most; ++i) {
+    if (!skip(i)) {
+      without_state.push_back(i);
+    }
+  }
+  std::vector<std::uint32_t> tasks;
+  std::ranges::merge(with_state, without_state, std::back_inserter(tasks));
+  tasks.resize(std::min(tasks.size(), most));
+  return tasks;
+}
+
 }  // namespace
 
 std::vector<JobPlanner::WaitingUnit> JobPlanner::CollectWaitingUnits(
     const TransitionTime& time) {
   std::vector<WaitingUnit> waiting;
   for (auto& [id, job] : this->jobs) {
-    if (IsFinal(job.phase)) {
-      continue;
-    }
-    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-      if (time.wall < job.DueAt(k)) {
-        break;
-      }
-      for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-        if (!job.occurrences[k].steps[s].IsDone() && job.IsStepReady(k, s)) {
-          this->CollectStep(job, k, s, time, waiting);
-        }
-      }
+    if (!IsFinal(job.phase)) {
+      this->CollectJob(job, time, waiting);
     }
   }
   return waiting;
 }
 
-// A gang waits until all of its tasks can run. The other tasks of a step are
-// collected in one unit, because they share their rank.
-void JobPlanner::CollectStep(Job& job,
-                             std::uint32_t occurrence,
-                             std::uint32_t step,
-                             const TransitionTime& time,
-                             std::vector<WaitingUnit>& waiting) {
-  const StepState& state = job.occurrences[occurrence].steps[step];
-  PlacementUnit unit;
-  unit.submission = &job.submission;
-  unit.occurrence = occurrence;
-  unit.step = step;
-  const bool gang = job.submission.spec.steps[step].gang;
-  for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
-    const TaskState& task = state.tasks[i];
-    if (task.phase == TaskPhase::kWaiting && time.now >= task.not_before) {
-      unit.tasks.push_back(i);
-    } else if (gang) {
+// After a time without service, thousands of occurrences of one job may be due.
+// Later ones are opened as the earlier ones get their runs.
+void JobPlanner::CollectJob(Job& job,
+                            const TransitionTime& time,
+                            std::vector<WaitingUnit>& waiting) {
+  const auto& steps = job.submission.spec.steps;
+  std::vector<std::uint32_t> listed(steps.size(), 0);
+  for (const auto& [k, occurrence] : job.occurrences) {
+    if (time.wall >= job.DueAt(k)) {
+      this->CollectOccurrence(job, k, time, listed, waiting);
+    }
+  }
+  const auto first_step_has_room = [&] {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      if (steps[s].depends_on.empty() && listed[s] < kMaxListedTasks) {
+        return true;
+      }
+    }
+    return false;
+  };
+  const std::size_t max_open =
+      std::max<std::size_t>(1, kMaxOpenSteps / steps.size());
+  const std::uint32_t end = job.submission.spec.Occurrences();
+  while (true) {
+    const std::uint32_t k =
+        job.done_occurrences.NextMissing(job.first_unopened);
+    job.first_unopened = k;
+    if (k >= end || time.wall < job.DueAt(k)) {
       return;
     }
+    if (!job.occurrences.contains(k)) {
+      if (job.occurrences.size() >= max_open || !first_step_has_room()) {
+        return;
+      }
+      job.occurrences.try_emplace(k);
+      this->CollectOccurrence(job, k, time, listed, waiting);
+    }
+    job.first_unopened = k + 1;
   }
-  if (!unit.tasks.empty()) {
-    this->AddWaitingUnit(job, std::move(unit), time, waiting);
+}
+
+// `listed` counts the tasks that the job has listed so far, for each step. A
+// step that finds no capacity must not keep the job's other steps from theirs.
+void JobPlanner::CollectOccurrence(Job& job,
+                                   std::uint32_t occurrence,
+                                   const TransitionTime& time,
+                                   std::vector<std::uint32_t>& listed,
+                                   std::vector<WaitingUnit>& waiting) {
+  for (std::uint32_t s = 0; s < listed.size(); ++s) {
+    if (listed[s] >= kMaxListedTasks || job.IsStepDone(occurrence, s) ||
+        !job.IsStepReady(occurrence, s)) {
+      continue;
+    }
+    const StepSpec& spec = job.submission.spec.steps[s];
+    StepState& state = job.occurrences.at(occurrence).steps[s];
+    PlacementUnit unit;
+    unit.submission = &job.submission;
+    unit.occurrence = occurrence;
+    unit.step = s;
+    unit.tasks = spec.gang ? ListGang(spec, state, time.now)
+                           : ListTasks(spec, state, time.now,
+                                       kMaxListedTasks - listed[s]);
+    listed[s] += static_cast<std::uint32_t>(unit.tasks.size());
+    if (!unit.tasks.empty()) {
+      this->AddWaitingUnit(job, std::move(unit), time, waiting);
+    }
   }
 }
 
@@ -86,13 +180,19 @@
   const std::uint32_t occurrence = unit.occurrence;
   entry.job = &job;
   entry.unit = std::move(unit);
-  for (const std::uint32_t index : entry.unit.tasks) {
-    TaskState& task = entry.Task(index);
-    if (task.waiting_since == Instant{}) {
+  StepState& step = entry.Step();
+  if (step.waiting_since == Instant{}) {
+    step.waiting_since = time.now;
+  }
+  entry.waiting_tasks = entry.unit.Spec().tasks - step.done.Count();
+  for (auto& [index, task] : step.tasks) {
+    if (!IsWaiting(task, time.now)) {
+      entry.waiting_tasks -= task.phase == TaskPhase::kDone ? 0 : 1;
+    } else if (task.waiting_since == Instant{}) {
       task.waiting_since = time.now;
     }
   }
-  entry.runnable_since = entry.Task(entry.unit.tasks.front()).waiting_since;
+  entry.runnable_since = step.WaitingSince(entry.unit.tasks.front());
   entry.guaranteed = this->guaranteed_jobs.contains(job.submission.id);
   entry.rank = job.submission.priority * kRanksPerPriority;
   const DeadlineForecast forecast =
@@ -114,8 +214,7 @@
     for (const WaitingUnit& unit : waiting) {
       const Submission& submission = unit.job->submission;
       if (submission.priority == 0 && submission.service == service) {
-        urgent += unit.unit.Spec().PlacementDemand().Times(
-            static_cast<std::int64_t>(unit.unit.tasks.size()));
+        urgent += unit.unit.Spec().PlacementDemand().Times(unit.waiting_tasks);
       }
     }
     this->headroom.Observe(service, DominantShare(urgent, capacity.total),
@@ -170,10 +269,10 @@
       spec.long_running || waiting.slack_ms <= spec.estimate_ms) {
     return std::numeric_limits<std::int64_t>::max();
   }
-  const auto& step = waiting.job->occurrences[waiting.unit.occurrence]
-                         .steps[waiting.unit.step];
   return this->objective.TasksAtOnce(spec) -
-         std::ranges::count_if(step.tasks, &TaskState::HoldsResources);
+         std::ranges::count_if(waiting.Step().tasks, [](const auto& entry) {
+           return entry.second.HoldsResources();
+         });
 }
 
 // When a task finds no worker, the tasks that have waited no longer find none
@@ -199,7 +298,7 @@
       return;
     }
     waiting.unit.tasks = {index};
-    waiting.runnable_since = waiting.Task(index).waiting_since;
+    waiting.runnable_since = waiting.Step().WaitingSince(index);
     if (waiting.runnable_since >= failed_since) {
       continue;
     }
@@ -213,16 +312,11 @@
 
 bool JobPlanner::ScheduleUnit(WaitingUnit& waiting, Pass& pass) {
   waiting.unit.worker_crashes =
-      CountWorkerCrashes(waiting.job->occurrences[waiting.unit.occurrence]
-                             .steps[waiting.unit.step],
-                         waiting.unit);
+      CountWorkerCrashes(waiting.Step(), waiting.unit);
   if (waiting.unit.Spec().max_per_worker > 0) {
     // Includes tasks that were placed earlier in this pass.
     waiting.unit.tasks_by_worker.clear();
-    for (const TaskState& task :
-         waiting.job->occurrences[waiting.unit.occurrence]
-             .steps[waiting.unit.step]
-             .tasks) {
+    for (const auto& [index, task] : waiting.Step().tasks) {
       if (task.HoldsResources()) {
         ++waiting.unit.tasks_by_worker[task.worker];
       }
@@ -460,7 +554,7 @@
                             Pass& pass,
                             const PlacementConstraints& constraints) {
   const Instant now = pass.time.now;
-  if (now < waiting.Task(waiting.unit.tasks.front()).preemption_search_at ||
+  if (now < waiting.PreemptionSearchAt() ||
       pass.preemption_searches >= this->settings.max_preemption_searches) {
     return false;
   }
--- a/packages/workload/job_transitions.cc
+++ b/packages/workload/job_transitions.cc
@@ -1,7 +1,5 @@
 #include "packages/workload/job_transitions.h"
 
-#include <algorithm>
-
 namespace carobrill::workload {
 namespace {
 
@@ -12,15 +10,13 @@
 /// report can show the reason first.
 constexpr std::int64_t kRefusalDelayMs = 150;
 
-void CompleteTask(StepState& step, TaskState& task, bool gang) {
-  task.phase = TaskPhase::kDone;
-  if (!gang) {
-    return;
-  }
-  // When one member reports completion, the whole gang has completed.
-  for (TaskState& member : step.tasks) {
-    member.phase = TaskPhase::kDone;
-  }
+// When one member of a gang reports completion, the whole gang has completed.
+void CompleteTask(Job& job, const TaskKey& key) {
+  const StepSpec& spec = job.SpecOf(key);
+  const IntervalSet::Interval tasks =
+      spec.gang ? IntervalSet::Interval{0, spec.tasks}
+                : IntervalSet::Interval{key.index, key.index + 1};
+  job.Complete(key.occurrence, key.step, tasks);
 }
 
 /// Counts a failed run. Returns the number of failed runs that counts against
@@ -46,16 +42,10 @@
   StopAllTasks(job);
 }
 
-bool AllOccurrencesDone(const Job& job) {
-  return std::ranges::all_of(job.occurrences, [](const Occurrence& occurrence) {
-    return occurrence.IsDone();
-  });
-}
-
 }  // namespace
 
 void StopStep(StepState& step) {
-  for (TaskState& task : step.tasks) {
+  for (auto& [index, task] : step.tasks) {
     if (task.HoldsResources()) {
       task.phase = TaskPhase::kStopping;
     }
@@ -63,9 +53,9 @@
 }
 
 void StopAllTasks(Job& job) {
-  for (Occurrence& occurrence : job.occurrences) {
-    for (StepState& step : occurrence.steps) {
-      StopStep(step);
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (auto& [step, state] : occurrence.steps) {
+      StopStep(state);
     }
   }
 }
@@ -76,12 +66,12 @@
   if (checkpoint.empty()) {
     return;
   }
-  StepState& step = job.occurrences[task.occurrence].steps[task.step];
+  StepState& step = job.occurrences.at(task.occurrence).steps.at(task.step);
   if (!job.SpecOf(task).gang) {
-    step.tasks[task.index].checkpoint = checkpoint;
+    step.tasks.at(task.index).checkpoint = checkpoint;
     return;
   }
-  for (TaskState& member : step.tasks) {
+  for (auto& [index, member] : step.tasks) {
     member.checkpoint = checkpoint;
   }
 }
@@ -97,11 +87,11 @@
   }
   const StepSpec& spec = job.SpecOf(report.task);
   StepState& step =
-      job.occurrences[report.task.occurrence].steps[report.task.step];
+      job.occurrences.at(report.task.occurrence).steps.at(report.task.step);
   StoreCheckpoint(job, report.task, report.checkpoint);
   if (report.end == RunEnd::kDone && !spec.long_running) {
-    CompleteTask(step, *task, spec.gang);
-    if (!IsFinal(job.phase) && AllOccurrencesDone(job)) {
+    CompleteTask(job, report.task);
+    if (!IsFinal(job.phase) && job.AllOccurrencesDone()) {
       FinishJob(job, JobPhase::kCompleted, time);
     }
     return true;
--- a/packages/workload/job_transitions.h
+++ b/packages/workload/job_transitions.h
@@ -45,8 +45,8 @@
 /// Marks every task of the job that holds resources as stopping.
 void StopAllTasks(Job& job);
 
-/// Stores the latest checkpoint of a task, or of all members of its gang, which
-/// share one checkpoint. An empty checkpoint is ignored.
+/// Stores the latest checkpoint of a task that has a state, or of all members
+/// of its gang, which share one checkpoint. An empty checkpoint is ignored.
 void StoreCheckpoint(Job& job,
                      const TaskKey& task,
                      const std::string& checkpoint);
--- a/packages/workload/preemption.cc
+++ b/packages/workload/preemption.cc
@@ -251,13 +251,15 @@
   if (this->stops_left.contains(run.step)) {
     return;
   }
-  const auto unavailable =
-      std::ranges::count_if(run.step->tasks, [](const TaskState& task) {
-        return task.phase != TaskPhase::kRunning ||
-               task.percent < kCompletePercent;
+  const auto available =
+      std::ranges::count_if(run.step->tasks, [](const auto& entry) {
+        const TaskState& task = entry.second;
+        return task.phase == TaskPhase::kRunning &&
+               task.percent >= kCompletePercent;
       });
-  this->stops_left[run.step] =
-      run.spec->max_unavailable - static_cast<std::int64_t>(unavailable);
+  const std::int64_t unavailable =
+      run.spec->tasks - static_cast<std::int64_t>(available);
+  this->stops_left[run.step] = run.spec->max_unavailable - unavailable;
 }
 
 const Victim& VictimPool::MarkStopped(std::size_t victim) {
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -80,63 +80,146 @@
   std::map<WorkerIncarnation, std::uint32_t> numbers;
 };
 
-/// Number of tasks that have run above which the completed ones are stored as
-/// ranges. Versions that know no ranges would run those tasks again; listed one
-/// by one, some 20,000 tasks exceed the longest record of the log.
-constexpr std::size_t kMaxListedTasks = 10'000;
-
 bool HasNeverRun(const TaskState& task) {
   return task.phase == TaskPhase::kWaiting && task.run == 0;
 }
 
-std::size_t CountTasksThatRan(const Job& job) {
-  std::size_t count = 0;
-  for (const Occurrence& occurrence : job.occurrences) {
-    for (const StepState& step : occurrence.steps) {
-      count +=
-          step.tasks.size() - static_cast<std::size_t>(std::ranges::count_if(
-                                  step.tasks, HasNeverRun));
+/// The tasks of a job, numbered through all occurrences and steps.
+class TaskNumbers {
+ public:
+  explicit TaskNumbers(const JobSpec& spec) : spec(spec) {
+    for (const StepSpec& step : spec.steps) {
+      this->first_of_step.push_back(this->per_occurrence);
+      this->per_occurrence += step.tasks;
     }
   }
-  return count;
-}
 
-/// Adds a task to the ranges of completed tasks. Numbers must increase.
-void AddToRanges(std::uint64_t number, records::JobRecord& record) {
-  auto& ranges = *record.mutable_done_ranges();
-  const int size = ranges.size();
-  if (size > 0 && ranges[size - 2] + ranges[size - 1] == number) {
-    ranges[size - 1] += 1;
-    return;
+  std::uint64_t PerOccurrence() const { return this->per_occurrence; }
+
+  std::uint64_t Total() const {
+    return this->per_occurrence * this->spec.Occurrences();
   }
-  ranges.Add(number);
-  ranges.Add(1);
-}
 
-/// Returns whether the ranges lie within the tasks of the job.
-bool ApplyRanges(const records::JobRecord& record, Job& job) {
-  const auto& ranges = record.done_ranges();
-  if (ranges.empty()) {
-    return true;
+  std::uint64_t NumberOf(std::uint32_t occurrence,
+                         std::uint32_t step,
+                         std::uint32_t index) const {
+    return occurrence * this->per_occurrence + this->first_of_step[step] +
+           index;
+  }
+
+  /// Returns the step of a task with this number within its occurrence.
+  std::uint32_t StepOf(std::uint64_t number) const {
+    const auto next = std::ranges::upper_bound(this->first_of_step, number) - 1;
+    return static_cast<std::uint32_t>(next - this->first_of_step.begin());
+  }
+
+  std::uint64_t FirstOfStep(std::uint32_t step) const {
+    return this->first_of_step[step];
+  }
+
+ private:
+  const JobSpec& spec;
+  std::vector<std::uint64_t> first_of_step;
+  std::uint64_t per_occurrence = 0;
+};
+
+/// Collects the numbers of completed tasks as ranges.
+class DoneRanges {
+ public:
+  explicit DoneRanges(const Job& job) : numbers(job.submission.spec) {
+    for (const auto& [begin, end] : job.done_occurrences.Intervals()) {
+      this->Add(begin * this->numbers.PerOccurrence(),
+                end * this->numbers.PerOccurrence());
+    }
+    for (const auto& [k, occurrence] : job.occurrences) {
+      if (!job.done_occurrences.Contains(k)) {
+        this->AddOccurrence(job.submission.spec, k, occurrence);
+      }
+    }
+  }
+
+  /// Writes pairs of a first number and a count. Ranges that touch are merged.
+  void Write(records::JobRecord& record) {
+    std::ranges::sort(this->ranges);
+    auto& written = *record.mutable_done_ranges();
+    for (const auto& [begin, end] : this->ranges) {
+      const int size = written.size();
+      if (size > 0 && written[size - 2] + written[size - 1] == begin) {
+        written[size - 1] += end - begin;
+      } else {
+        written.Add(begin);
+        written.Add(end - begin);
+      }
+    }
   }
-  std::vector<TaskState*> tasks;
-  for (Occurrence& occurrence : job.occurrences) {
-    for (StepState& step : occurrence.steps) {
-      for (TaskState& task : step.tasks) {
-        tasks.push_back(&task);
+
+ private:
+  void AddOccurrence(const JobSpec& spec,
+                     std::uint32_t k,
+                     const Occurrence& occurrence) {
+    for (const auto& [begin, end] : occurrence.done_steps.Intervals()) {
+      this->Add(this->numbers.NumberOf(k, begin, 0),
+                this->numbers.NumberOf(k, end - 1, spec.steps[end - 1].tasks));
+    }
+    for (const auto& [s, step] : occurrence.steps) {
+      if (occurrence.done_steps.Contains(s)) {
+        continue;
+      }
+      for (const auto& [begin, end] : step.done.Intervals()) {
+        this->Add(this->numbers.NumberOf(k, s, begin),
+                  this->numbers.NumberOf(k, s, end));
       }
     }
   }
+
+  void Add(std::uint64_t begin, std::uint64_t end) {
+    this->ranges.emplace_back(begin, end);
+  }
+
+  TaskNumbers numbers;
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> ranges;
+};
+
+/// Marks the tasks from number `begin` up to, but not including, `end` as
+/// completed, whole occurrences at once.
+void CompleteRange(const TaskNumbers& numbers,
+                   std::uint64_t begin,
+                   std::uint64_t end,
+                   Job& job) {
+  const std::uint64_t per_occurrence = numbers.PerOccurrence();
+  while (begin < end) {
+    const auto k = static_cast<std::uint32_t>(begin / per_occurrence);
+    const std::uint64_t offset = begin % per_occurrence;
+    const std::uint64_t whole = (end - begin) / per_occurrence;
+    if (offset == 0 && whole > 0) {
+      job.CompleteOccurrences({k, k + static_cast<std::uint32_t>(whole)});
+      begin += whole * per_occurrence;
+      continue;
+    }
+    const std::uint32_t step = numbers.StepOf(offset);
+    const auto first =
+        static_cast<std::uint32_t>(offset - numbers.FirstOfStep(step));
+    const auto count = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        job.submission.spec.steps[step].tasks - first, end - begin));
+    job.Complete(k, step, {first, first + count});
+    job.Release({job.submission.id, k, step, first});
+    begin += count;
+  }
+}
+
+/// Returns whether the ranges lie within the tasks of the job.
+bool ApplyRanges(const records::JobRecord& record, Job& job) {
+  const auto& ranges = record.done_ranges();
+  const TaskNumbers numbers(job.submission.spec);
+  const std::uint64_t total = numbers.Total();
   if (ranges.size() % 2 != 0) {
     return false;
   }
   for (int i = 0; i < ranges.size(); i += 2) {
-    if (ranges[i] > tasks.size() || ranges[i + 1] > tasks.size() - ranges[i]) {
+    if (ranges[i] > total || ranges[i + 1] > total - ranges[i]) {
       return false;
     }
-    for (std::uint64_t n = 0; n < ranges[i + 1]; ++n) {
-      tasks[ranges[i] + n]->phase = TaskPhase::kDone;
-    }
+    CompleteRange(numbers, ranges[i], ranges[i] + ranges[i + 1], job);
   }
   return true;
 }
@@ -144,11 +227,14 @@
 // An older version counted the failure of a run once for each member that
 // reported it. A member without a worker tells that the latest run has ended
 // for it, probably because that run failed.
-void CorrectMemberCount(StepState& step) {
-  const std::uint32_t latest =
-      std::ranges::max(step.tasks, {}, &TaskState::run).run;
-  const bool latest_has_failed = std::ranges::any_of(
-      step.tasks, [](const TaskState& task) { return !task.HoldsResources(); });
+void CorrectMemberCount(const StepSpec& spec, StepState& step) {
+  std::uint32_t latest = 0;
+  std::uint32_t holding = 0;
+  for (const auto& [index, task] : step.tasks) {
+    latest = std::max(latest, task.run);
+    holding += task.HoldsResources() ? 1 : 0;
+  }
+  const bool latest_has_failed = holding < spec.tasks;
   step.last_failed_run = latest_has_failed || latest == 0 ? latest : latest - 1;
   step.gang_failures = std::min(step.gang_failures, step.last_failed_run);
 }
@@ -156,22 +242,34 @@
 bool DecodeTask(const records::JobRecord& record,
                 const records::TaskRecord& stored,
                 Job& job) {
-  TaskState* task = job.Find(
-      {job.submission.id, stored.occurrence(), stored.step(), stored.index()});
-  if (task == nullptr ||
+  const TaskKey key{job.submission.id, stored.occurrence(), stored.step(),
+                    stored.index()};
+  if (!job.HasTask(key) ||
       stored.phase() > static_cast<std::uint32_t>(TaskPhase::kDone) ||
       stored.worker() > static_cast<std::uint32_t>(record.workers_size())) {
     return false;
   }
-  task->phase = static_cast<TaskPhase>(stored.phase());
-  task->run = stored.run();
-  task->failures = stored.failures();
-  task->worker_crashes = stored.worker_crashes();
-  task->checkpoint = stored.checkpoint();
+  const auto phase = static_cast<TaskPhase>(stored.phase());
+  if (phase == TaskPhase::kDone) {
+    job.Complete(key.occurrence, key.step, {key.index, key.index + 1});
+    job.Release(key);
+    return true;
+  }
+  const StepState* step = job.FindStep(key.occurrence, key.step);
+  if (job.IsStepDone(key.occurrence, key.step) ||
+      (step != nullptr && step->done.Contains(key.index))) {
+    return true;
+  }
+  TaskState& task = job.Open(key);
+  task.phase = phase;
+  task.run = stored.run();
+  task.failures = stored.failures();
+  task.worker_crashes = stored.worker_crashes();
+  task.checkpoint = stored.checkpoint();
   if (stored.worker() > 0) {
     const auto& worker = record.workers(static_cast<int>(stored.worker()) - 1);
-    task->worker = {InstanceId(worker.agent()), WorkerId(worker.id()),
-                    worker.born_unix_ms()};
+    task.worker = {InstanceId(worker.agent()), WorkerId(worker.id()),
+                   worker.born_unix_ms()};
   }
   return true;
 }
@@ -243,26 +341,19 @@
   if (IsFinal(job.phase) && !job.AnyTaskHoldsResources()) {
     return record.SerializeAsString();
   }
-  const bool use_ranges = CountTasksThatRan(job) > kMaxListedTasks;
-  std::uint64_t number = 0;
+  DoneRanges(job).Write(record);
   WorkerTable workers(record);
-  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-    const auto& steps = job.occurrences[k].steps;
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      if (steps[s].gang_failures > 0 && !steps[s].IsDone()) {
+  for (const auto& [k, occurrence] : job.occurrences) {
+    for (const auto& [s, step] : occurrence.steps) {
+      if (step.gang_failures > 0 && !job.IsStepDone(k, s)) {
         auto* failures = record.add_gang_failures();
         failures->set_occurrence(k);
         failures->set_step(s);
-        failures->set_failures(steps[s].gang_failures);
-        failures->set_last_failed_run(steps[s].last_failed_run);
+        failures->set_failures(step.gang_failures);
+        failures->set_last_failed_run(step.last_failed_run);
       }
-      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i, ++number) {
-        const TaskState& task = steps[s].tasks[i];
-        if (HasNeverRun(task)) {
-          continue;
-        }
-        if (use_ranges && task.phase == TaskPhase::kDone) {
-          AddToRanges(number, record);
+      for (const auto& [i, task] : step.tasks) {
+        if (task.phase == TaskPhase::kDone || HasNeverRun(task)) {
           continue;
         }
         auto* stored = record.add_tasks();
@@ -273,9 +364,7 @@
         stored->set_run(task.run);
         stored->set_failures(task.failures);
         stored->set_worker_crashes(task.worker_crashes);
-        if (task.phase != TaskPhase::kDone) {
-          stored->set_checkpoint(task.checkpoint);
-        }
+        stored->set_checkpoint(task.checkpoint);
         if (task.HoldsResources()) {
           stored->set_worker(workers.NumberOf(task.worker));
         }
@@ -304,16 +393,19 @@
     return Fail(RecordError{job.submission.id.value});
   }
   for (const auto& stored : record.gang_failures()) {
-    if (decoded.Find({job.submission.id, stored.occurrence(), stored.step(),
-                      0}) == nullptr) {
+    const TaskKey first{job.submission.id, stored.occurrence(), stored.step(),
+                        0};
+    if (!decoded.HasTask(first)) {
       return Fail(RecordError{job.submission.id.value});
     }
-    StepState& step =
-        decoded.occurrences[stored.occurrence()].steps[stored.step()];
+    if (decoded.IsStepDone(first.occurrence, first.step)) {
+      continue;
+    }
+    StepState& step = decoded.occurrences[first.occurrence].steps[first.step];
     step.gang_failures = stored.failures();
     step.last_failed_run = stored.last_failed_run();
     if (step.gang_failures > 0 && step.last_failed_run == 0) {
-      CorrectMemberCount(step);
+      CorrectMemberCount(decoded.SpecOf(first), step);
     }
   }
   job = std::move(decoded);
--- a/packages/workload/run_index.cc
+++ b/packages/workload/run_index.cc
@@ -8,17 +8,15 @@
 // Most calls change few tasks of the job, so tasks whose phase is already
 // indexed cost one comparison.
 void RunIndex::Update(Job& job) {
-  for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-    auto& steps = job.occurrences[k].steps;
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
-        TaskState& task = steps[s].tasks[i];
+  for (auto& [k, occurrence] : job.occurrences) {
+    for (auto& [s, step] : occurrence.steps) {
+      for (auto& [i, task] : step.tasks) {
         if (task.phase == task.indexed_phase) {
           continue;
         }
         const bool indexed = HoldsResources(task.indexed_phase);
         if (!indexed && task.HoldsResources()) {
-          this->Insert(job, {job.submission.id, k, s, i}, steps[s], task);
+          this->Insert(job, {job.submission.id, k, s, i}, step, task);
         } else if (indexed && !task.HoldsResources()) {
           this->Erase(task);
         } else if (indexed) {
@@ -31,9 +29,9 @@
 }
 
 void RunIndex::Remove(Job& job) {
-  for (Occurrence& occurrence : job.occurrences) {
-    for (StepState& step : occurrence.steps) {
-      for (TaskState& task : step.tasks) {
+  for (auto& [k, occurrence] : job.occurrences) {
+    for (auto& [s, step] : occurrence.steps) {
+      for (auto& [i, task] : step.tasks) {
         if (HoldsResources(task.indexed_phase)) {
           this->Erase(task);
         }
--- a/tests/workload/gang_failure_test.cc
+++ b/tests/workload/gang_failure_test.cc
@@ -33,7 +33,7 @@
 }
 
 const StepState& StepOf(const PlannerFixture& fixture) {
-  return JobOf(fixture).occurrences[0].steps[0];
+  return *JobOf(fixture).FindStep(0, 0);
 }
 
 void FailMembers(PlannerFixture& fixture,
--- a/tests/workload/holds_test.cc
+++ b/tests/workload/holds_test.cc
@@ -161,9 +161,12 @@
       this->violation =
           "a task was started before the steps it depends on had completed";
     }
-    const StepState& step = job.occurrences[key.occurrence].steps[key.step];
+    const StepState& step = *job.FindStep(key.occurrence, key.step);
+    if (job.SpecOf(key).gang && step.tasks.size() < job.SpecOf(key).tasks) {
+      this->violation = "a gang was started partially";
+    }
     std::uint32_t tasks_on_worker = 0;
-    for (const TaskState& member : step.tasks) {
+    for (const auto& [index, member] : step.tasks) {
       tasks_on_worker +=
           member.HoldsResources() && member.worker == task.worker ? 1 : 0;
       if (job.SpecOf(key).gang && member.run != task.run) {
--- a/tests/workload/job_planner_test.cc
+++ b/tests/workload/job_planner_test.cc
@@ -178,7 +178,7 @@
   fixture.planner.ApplyRunReport(agent, report, fixture.Time());
   fixture.planner.ApplyRunReport(agent, report, fixture.Time());
   const auto& job = fixture.planner.Jobs().at(JobId("j"));
-  CHECK(job.occurrences[0].steps[0].tasks[0].failures == 1);
+  CHECK(job.FindStep(0, 0)->tasks.at(0).failures == 1);
   CHECK(job.phase == JobPhase::kRunning);
 }
 
@@ -348,10 +348,10 @@
   REQUIRE(DecodeProgress(EncodeProgress(job), copy));
   CHECK(copy.phase == JobPhase::kRunning);
   for (std::uint32_t i = 0; i < 2; ++i) {
-    const TaskState& task = copy.occurrences[0].steps[0].tasks[i];
+    const TaskState& task = copy.FindStep(0, 0)->tasks.at(i);
     CHECK(task.run == 1);
     CHECK(task.phase == TaskPhase::kRunning);
-    CHECK(task.worker == job.occurrences[0].steps[0].tasks[i].worker);
+    CHECK(task.worker == job.FindStep(0, 0)->tasks.at(i).worker);
   }
   CHECK(copy.submission.spec.payload == "work");
 }
--- a/tests/workload/planner_fixture.cc
+++ b/tests/workload/planner_fixture.cc
@@ -101,12 +101,11 @@
 std::map<TaskKey, TaskState> PlannerFixture::ActiveTasks() const {
   std::map<TaskKey, TaskState> active;
   for (const auto& [id, job] : this->planner.Jobs()) {
-    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-      const auto& steps = job.occurrences[k].steps;
-      for (std::uint32_t s = 0; s < steps.size(); ++s) {
-        for (std::uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
-          if (steps[s].tasks[i].HoldsResources()) {
-            active.emplace(TaskKey{id, k, s, i}, steps[s].tasks[i]);
+    for (const auto& [k, occurrence] : job.occurrences) {
+      for (const auto& [s, step] : occurrence.steps) {
+        for (const auto& [i, task] : step.tasks) {
+          if (task.HoldsResources()) {
+            active.emplace(TaskKey{id, k, s, i}, task);
           }
         }
       }
--- a/tests/workload/record_size_test.cc
+++ b/tests/workload/record_size_test.cc
@@ -26,13 +26,16 @@
   job.phase = JobPhase::kRunning;
   for (std::uint32_t k = 0; k <= done; ++k) {
     for (std::uint32_t i = 0; i < kTasks; ++i) {
-      TaskState& task = job.occurrences[k].steps[0].tasks[i];
-      task.run = 1;
-      task.phase =
-          k < done || i % 2 == 0 ? TaskPhase::kDone : TaskPhase::kRunning;
-      if (task.phase == TaskPhase::kRunning) {
-        task.worker = {InstanceId("a"), WorkerId("w"), 1};
+      const TaskKey key{job.submission.id, k, 0, i};
+      if (k < done || i % 2 == 0) {
+        job.Complete(k, 0, {i, i + 1});
+        job.Release(key);
+        continue;
       }
+      TaskState& task = job.Open(key);
+      task.run = 1;
+      task.phase = TaskPhase::kRunning;
+      task.worker = {InstanceId("a"), WorkerId("w"), 1};
     }
   }
   return job;
@@ -44,11 +47,24 @@
   return restored;
 }
 
-bool SamePhases(const Job& a, const Job& b) {
-  for (std::size_t k = 0; k < a.occurrences.size(); ++k) {
-    for (std::size_t i = 0; i < kTasks; ++i) {
-      const TaskState& x = a.occurrences[k].steps[0].tasks[i];
-      const TaskState& y = b.occurrences[k].steps[0].tasks[i];
+/// Returns a copy of the state of a task; that of a completed one has its
+/// phase.
+TaskState StateOf(Job& job, std::uint32_t k, std::uint32_t i) {
+  TaskState state;
+  const StepState* step = job.FindStep(k, 0);
+  if (job.IsStepDone(k, 0) || (step != nullptr && step->done.Contains(i))) {
+    state.phase = TaskPhase::kDone;
+  } else if (const TaskState* task = job.Find({job.submission.id, k, 0, i})) {
+    state = *task;
+  }
+  return state;
+}
+
+bool SamePhases(Job a, Job b) {
+  for (std::uint32_t k = 0; k < kRepeats; ++k) {
+    for (std::uint32_t i = 0; i < kTasks; ++i) {
+      const TaskState x = StateOf(a, k, i);
+      const TaskState y = StateOf(b, k, i);
       if (x.phase != y.phase || x.worker != y.worker ||
           (x.HoldsResources() && x.run != y.run)) {
         return false;
