Show how long planning passes take

A planner that is silent for seconds could not be told from one that is cut off or has lost its processor: passes left no trace.

--- a/packages/gateway/planner_log.cc
+++ b/packages/gateway/planner_log.cc
@@ -21,6 +21,11 @@
           "carobrill_task_run_seconds",
           "Time from the assignment of a run to the report of its end.",
           LatencyBounds())),
+      pass_time(
+          metrics.GetHistogram("carobrill_planning_pass_seconds",
+                               "Time that a planning pass took, including the "
+                               "encoding of what it changed.",
+                               LatencyBounds())),
       slow_workers(metrics.GetGauge(
           "carobrill_slow_workers",
           "Workers that are slow by their runs, while work is placed by "
@@ -56,4 +61,16 @@
   }
 }
 
+// During a pass, the instance does nothing else: no heartbeat, no answer.
+void PlannerLog::ObservePass(std::int64_t duration_ms,
+                             std::int64_t slow_ms,
+                             std::uint64_t epoch) {
+  this->pass_time.Observe(static_cast<double>(duration_ms) / kMsPerSecond);
+  if (duration_ms >= slow_ms) {
+    Log(LogLevel::kWarning, "slow_planning_pass",
+        {{"duration_ms", std::to_string(duration_ms)},
+         {"epoch", std::to_string(epoch)}});
+  }
+}
+
 }  // namespace carobrill::gateway
--- a/packages/gateway/planner_log.h
+++ b/packages/gateway/planner_log.h
@@ -20,6 +20,12 @@
   void Write(const std::vector<workload::PlannerEvent>& events,
              std::uint64_t epoch);
 
+  /// Records that a planning pass took `duration_ms`, including the encoding of
+  /// what it changed. A pass of `slow_ms` or more is logged.
+  void ObservePass(std::int64_t duration_ms,
+                   std::int64_t slow_ms,
+                   std::uint64_t epoch);
+
   /// Sets the number of workers that are known to be slow.
   void SetSlowWorkers(std::size_t count) {
     this->slow_workers.Set(static_cast<double>(count));
@@ -29,6 +35,7 @@
   std::map<workload::PlannerEventKind, Counter*> counters;
   Histogram& start_wait;
   Histogram& run_time;
+  Histogram& pass_time;
   Gauge& slow_workers;
 };
 
--- a/packages/gateway/planner_session.h
+++ b/packages/gateway/planner_session.h
@@ -257,6 +257,9 @@
     const Instant began = BootClock{}.Now();
     this->RunPassNow();
     const Instant ended_at = BootClock{}.Now();
+    this->planner_log.ObservePass(ended_at.ms - began.ms,
+                                  this->settings.heartbeat_interval_ms,
+                                  this->epoch);
     this->next_pass_at = ended_at.After(
         std::max(this->settings.min_pass_interval_ms,
                  this->settings.pass_pause_factor * (ended_at.ms - began.ms)));
