Limit the starts that an agent has in flight

Cause: an agent sent all due starts at once. Behind one slow processor and 128 connections they time out (400 ms) before they are answered, are sent again 120 ms later, and the call that renews the leases waits behind them. Besides, each result scheduled a search of all runs, and lists were compared run by run.

Change: at most 32 starts are in flight; the next are sent as results arrive, and each job gets its share, so that a wide job does not keep others from starting. Searches after results are joined. Listed runs are looked up by key, and a reply with lists is parsed once.

--- a/packages/worker_agent/run_table.cc
+++ b/packages/worker_agent/run_table.cc
@@ -12,18 +12,6 @@
   return {run.task, run.run};
 }
 
-template <typename Entry>
-auto FindRun(const std::vector<Entry>& list, const RunKey& run) {
-  return std::ranges::find_if(list, [&](const Entry& entry) {
-    return entry.task == run.first && entry.run == run.second;
-  });
-}
-
-template <typename Entry>
-bool Contains(const std::vector<Entry>& list, const RunKey& run) {
-  return FindRun(list, run) != list.end();
-}
-
 bool SameRuns(const std::vector<ListedRun>& a,
               const std::vector<ListedRun>& b) {
   return std::ranges::equal(a, b, [](const auto& x, const auto& y) {
@@ -41,8 +29,7 @@
 
 void RunTable::Reset() {
   this->desired_runs.clear();
-  this->running.clear();
-  this->ended.clear();
+  this->SetLists({}, {});
   this->unexpected.clear();
   this->exited = false;
   this->restarted = false;
@@ -75,7 +62,7 @@
       state.start_sent = maybe_started;
       state.start_unanswered = maybe_started;
       // An earlier process of the agent may have started the run.
-      state.confirmed = Contains(this->running, key);
+      state.confirmed = this->IsListedRunning(key);
       if (this->exited) {
         this->MarkEnded(state, RunEnd::kWorkerLost);
       }
@@ -97,9 +84,9 @@
 }
 
 bool RunTable::MayHoldResources(const RunKey& run, const State& state) const {
-  return !state.ended && !Contains(this->ended, run) &&
+  return !state.ended && !this->listed_ends.contains(run) &&
          (state.desired.started || state.confirmed || state.start_in_flight ||
-          state.start_unanswered || Contains(this->running, run));
+          state.start_unanswered || this->IsListedRunning(run));
 }
 
 workload::Resources RunTable::ResourcesInUse() const {
@@ -126,7 +113,38 @@
 bool RunTable::MustStart(const RunKey& run, const State& state) const {
   return !this->starts_held && !state.desired.stop && !state.desired.started &&
          !state.confirmed && !state.closed && !state.start_in_flight &&
-         !Contains(this->running, run);
+         !this->IsListedRunning(run);
+}
+
+// Calls to the worker are sent one after another by a slow processor. Too many
+// starts at once would time out before they are sent, and keep the renewal of
+// the leases waiting. Each job gets its share, so that a job of thousands of
+// tasks does not keep others from starting.
+std::set<RunKey> RunTable::SelectStarts(Instant now) const {
+  std::size_t in_flight = 0;
+  std::map<JobId, std::vector<RunKey>> due;
+  std::size_t most_of_job = 0;
+  for (const auto& [key, state] : this->desired_runs) {
+    in_flight += state.start_in_flight ? 1 : 0;
+    if (!state.ended && now >= state.retry_at && this->MustStart(key, state) &&
+        !this->listed_ends.contains(key)) {
+      auto& runs = due[key.first.job];
+      runs.push_back(key);
+      most_of_job = std::max(most_of_job, runs.size());
+    }
+  }
+  std::set<RunKey> selected;
+  for (std::size_t i = 0; i < most_of_job; ++i) {
+    for (const auto& [job, runs] : due) {
+      if (in_flight + selected.size() >= this->settings.max_starts_in_flight) {
+        return selected;
+      }
+      if (i < runs.size()) {
+        selected.insert(runs[i]);
+      }
+    }
+  }
+  return selected;
 }
 
 // An unanswered start may still be executed. A run that is no longer requested
@@ -136,8 +154,10 @@
 DueOrders RunTable::TakeDue(Instant now) {
   DueOrders due;
   workload::Resources in_use = this->ResourcesInUse();
+  const std::set<RunKey> starts = this->SelectStarts(now);
   for (auto& [key, state] : this->desired_runs) {
-    if (state.ended || Contains(this->ended, key) || now < state.retry_at) {
+    if (state.ended || this->listed_ends.contains(key) ||
+        now < state.retry_at) {
       continue;
     }
     const bool unconfirmed_while_draining =
@@ -147,6 +167,10 @@
       continue;
     }
     if (!unconfirmed_while_draining && this->MustStart(key, state)) {
+      if (!starts.contains(key)) {
+        due.starts_left = true;
+        continue;
+      }
       const workload::Resources before = in_use;
       if (!this->MayHoldResources(key, state)) {
         in_use += state.desired.demand;
@@ -235,16 +259,15 @@
       !SameEnds(this->ended, reply.ended)) {
     ++this->version;
   }
-  this->running = reply.running;
-  this->ended = reply.ended;
+  this->SetLists(reply.running, reply.ended);
   for (auto& [key, state] : this->desired_runs) {
-    const auto end = FindRun(this->ended, key);
-    if (this->restarted && end != this->ended.end()) {
-      this->MarkEnded(state, end->end);
-    } else if (Contains(this->running, key)) {
+    const auto end = this->listed_ends.find(key);
+    if (this->restarted && end != this->listed_ends.end()) {
+      this->MarkEnded(state, end->second);
+    } else if (this->IsListedRunning(key)) {
       state.confirmed = true;
       state.listed_from = std::min(state.listed_from, now);
-    } else if (end == this->ended.end()) {
+    } else if (end == this->listed_ends.end()) {
       this->CheckUnlisted(state, reply, sent);
     }
   }
@@ -262,6 +285,20 @@
   this->unexpected = std::move(remaining);
 }
 
+void RunTable::SetLists(std::vector<ListedRun> running,
+                        std::vector<ListedRunEnd> ended) {
+  this->running = std::move(running);
+  this->ended = std::move(ended);
+  this->listed_running.clear();
+  for (const ListedRun& run : this->running) {
+    this->listed_running.emplace(run.task, run.run);
+  }
+  this->listed_ends.clear();
+  for (const ListedRunEnd& end : this->ended) {
+    this->listed_ends.emplace(RunKey{end.task, end.run}, end.end);
+  }
+}
+
 // A run that is listed neither as running nor as ended has ended once the
 // worker rejects a late start of it.
 void RunTable::CheckUnlisted(State& state,
@@ -307,8 +344,7 @@
     state.retry_at = now;
   }
   this->restarted = true;
-  this->running.clear();
-  this->ended.clear();
+  this->SetLists({}, {});
   this->unexpected.clear();
   ++this->version;
 }
@@ -318,22 +354,21 @@
     this->MarkEnded(state, this->EndByExit(key, state, exit));
   }
   this->exited = true;
-  this->running.clear();
-  this->ended.clear();
+  this->SetLists({}, {});
   this->unexpected.clear();
   ++this->version;
 }
 
 bool RunTable::AllEnded() const {
   return std::ranges::all_of(this->desired_runs, [this](const auto& entry) {
-    return entry.second.ended || Contains(this->ended, entry.first);
+    return entry.second.ended || this->listed_ends.contains(entry.first);
   });
 }
 
 std::vector<ListedRunEnd> RunTable::Ends() const {
   std::vector<ListedRunEnd> ends = this->ended;
   for (const auto& [key, state] : this->desired_runs) {
-    if (state.ended && !Contains(this->ended, key)) {
+    if (state.ended && !this->listed_ends.contains(key)) {
       ends.push_back({0, key.first, key.second, state.end, {}});
     }
   }
--- a/packages/worker_agent/run_table.h
+++ b/packages/worker_agent/run_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,14 +55,18 @@
   std::vector<RunKey> stops;
   /// Runs that are not started because they exceed the worker's capacity.
   std::vector<RunKey> withdrawn;
+  /// Further starts are due once starts in flight have been answered.
+  bool starts_left = false;
 };
 
-/// Timing of orders to the worker, in ms.
+/// Timing of orders to the worker, in ms, and their number.
 struct RunTableSettings {
   std::int64_t retry_delay_ms = 120;
   /// Delay before a run that was not ordered is stopped. The planner may have
   /// assumed that the run had ended just before the worker lists it.
   std::int64_t unexpected_grace_ms = 1'000;
+  /// Maximum number of starts that have been sent and not answered.
+  std::size_t max_starts_in_flight = 32;
 };
 
 /// Reconciles the worker's runs with the runs requested by the planner. Tracks
@@ -164,6 +169,12 @@
     workload::RunEnd end_by_exit = workload::RunEnd::kWorkerLost;
   };
 
+  void SetLists(std::vector<ListedRun> running,
+                std::vector<ListedRunEnd> ended);
+  bool IsListedRunning(const RunKey& run) const {
+    return this->listed_running.contains(run);
+  }
+  std::set<RunKey> SelectStarts(Instant now) const;
   bool MustStart(const RunKey& run, const State& state) const;
   bool MayHoldResources(const RunKey& run, const State& state) const;
   workload::Resources ResourcesInUse() const;
@@ -178,6 +189,9 @@
   std::map<RunKey, State> desired_runs;
   std::vector<ListedRun> running;
   std::vector<ListedRunEnd> ended;
+  /// The same, by run.
+  std::set<RunKey> listed_running;
+  std::map<RunKey, workload::RunEnd> listed_ends;
   /// Runs that the worker lists but nobody ordered, with the time at which each
   /// was first listed.
   std::map<RunKey, Instant> unexpected;
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -304,6 +304,7 @@
       this->runs.HoldStarts();
     }
     DueOrders due = this->runs.TakeDue(now);
+    this->starts_left = due.starts_left;
     for (const DesiredRun& run : due.starts) {
       this->SendStart(run, now);
     }
@@ -313,6 +314,10 @@
     for (const RunKey& run : due.withdrawn) {
       LogStartWithdrawn(run);
     }
+    // No result of a start will follow.
+    if (due.starts_left && due.starts.empty() && !due.withdrawn.empty()) {
+      this->SendDueAt(now);
+    }
     this->ReportChanges();
   }
 
@@ -364,16 +369,34 @@
       this->EndIncarnation("another incarnation answered", this->ExitKind());
       return;
     }
-    this->task.PostAt(
-        BootClock{}.Now().After(this->settings.runs.retry_delay_ms),
-        [this, alive = this->alive] {
-          if (*alive) {
-            this->SendDue();
-          }
-        });
+    const Instant now = BootClock{}.Now();
+    this->SendDueAt(now.After(this->settings.runs.retry_delay_ms));
+    if (this->starts_left) {
+      this->SendDueAt(now);
+    }
     this->ReportChanges();
   }
 
+  // Thousands of results may arrive at once, and a search for due orders visits
+  // all runs.
+  void SendDueAt(Instant due_at) {
+    this->last_due_at = std::max(this->last_due_at, due_at);
+    if (this->next_due_at <= due_at) {
+      return;
+    }
+    this->next_due_at = due_at;
+    this->task.PostAt(due_at, [this, alive = this->alive, due_at] {
+      if (!*alive || this->next_due_at != due_at) {
+        return;
+      }
+      this->next_due_at = Instant::Never();
+      this->SendDue();
+      if (this->last_due_at > due_at) {
+        this->SendDueAt(this->last_due_at);
+      }
+    });
+  }
+
   void SendLeaseCall() {
     this->authority.LogEnd(this->description.incarnation.id);
     if (this->description.incarnation.id.empty() || this->exited) {
@@ -601,6 +624,12 @@
   /// The followed planner has not sent orders for the worker yet.
   bool first_orders = true;
   LeaseAuthority authority;
+  /// The last search for due orders left starts over.
+  bool starts_left = false;
+  /// Boot clock: when due orders are searched next, and for the last time as
+  /// far as is known now.
+  Instant next_due_at = Instant::Never();
+  Instant last_due_at;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t listed_end = 0;
   WorkerClock worker_clock;
