Bound the progress record of a job with thousands of running tasks

Cause: a record lists all tasks at work with their checkpoints, and nothing limited their number.

Change: a job has at most 6,000 tasks at work; further ones start as these complete. A record of more than 250,000 bytes leaves out the checkpoints of running tasks, which their workers list again, or else all.

--- a/packages/workload/job.cc
+++ b/packages/workload/job.cc
@@ -139,4 +139,17 @@
   return false;
 }
 
+std::uint32_t Job::CountTasksAtWork() const {
+  std::uint32_t count = 0;
+  for (const auto& [number, occurrence] : this->occurrences) {
+    for (const auto& [step, state] : occurrence.steps) {
+      for (const auto& [index, task] : state.tasks) {
+        const bool done = task.phase == TaskPhase::kDone;
+        count += done || task.HasNeverRun() ? 0 : 1;
+      }
+    }
+  }
+  return count;
+}
+
 }  // namespace carobrill::workload
--- a/packages/workload/job.h
+++ b/packages/workload/job.h
@@ -157,6 +157,11 @@
   TaskPhase indexed_phase = TaskPhase::kWaiting;
   /// @}
 
+  /// True before the first run of the task.
+  bool HasNeverRun() const {
+    return this->phase == TaskPhase::kWaiting && this->run == 0;
+  }
+
   /// True while the task holds resources on a worker.
   bool HoldsResources() const { return workload::HoldsResources(this->phase); }
 };
@@ -265,6 +270,9 @@
 
   /// True while any task holds resources on a worker.
   bool AnyTaskHoldsResources() const;
+
+  /// Number of tasks that have run and have not completed.
+  std::uint32_t CountTasksAtWork() const;
 };
 
 }  // namespace carobrill::workload
--- a/packages/workload/job_planner.h
+++ b/packages/workload/job_planner.h
@@ -1,6 +1,7 @@
 #ifndef PACKAGES_WORKLOAD_JOB_PLANNER_H_
 #define PACKAGES_WORKLOAD_JOB_PLANNER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -256,6 +257,14 @@
       return this->job->Open({this->job->submission.id, this->unit.occurrence,
                               this->unit.step, index});
     }
+    /// Number of tasks of `unit` that have never run.
+    std::int64_t CountFirstRuns() const {
+      const auto& tasks = this->Step().tasks;
+      return std::ranges::count_if(this->unit.tasks, [&](std::uint32_t index) {
+        const auto task = tasks.find(index);
+        return task == tasks.end() || task->second.HasNeverRun();
+      });
+    }
     /// Boot clock: earliest time of the next search for tasks to preempt.
     Instant PreemptionSearchAt() const {
       const auto& tasks = this->Step().tasks;
@@ -286,6 +295,8 @@
     std::map<ServiceId, Resources> reserved = {};
     /// Number of tasks that may still be placed.
     std::int64_t placements_left = 0;
+    /// Number of tasks that may run for the first time, by job.
+    std::map<JobId, std::int64_t> first_runs_left = {};
     /// Tasks that may be placed have been left over.
     bool cut_short = false;
     bool any_assigned = false;
@@ -319,6 +330,7 @@
   std::int64_t MaxNewRuns(const WaitingUnit& waiting) const;
   void ScheduleUnits(std::vector<WaitingUnit>& waiting, Pass& pass);
   void ScheduleTasks(WaitingUnit& waiting, Pass& pass);
+  static std::int64_t& FirstRunsLeft(const WaitingUnit& waiting, Pass& pass);
   static void CountTasksByWorker(WaitingUnit& waiting);
   bool ScheduleUnit(WaitingUnit& waiting, Pass& pass);
   bool ScheduleByLocality(WaitingUnit& waiting, Pass& pass);
--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -8,6 +8,7 @@
 #include "packages/workload/crash_isolation.h"
 #include "packages/workload/job_objective.h"
 #include "packages/workload/job_planner.h"
+#include "packages/workload/record_codec.h"
 
 namespace carobrill::workload {
 namespace {
@@ -346,10 +347,16 @@
         pass.time.now);
   }
   CountTasksByWorker(waiting);
+  std::int64_t& first_runs_left = FirstRunsLeft(waiting, pass);
   if (waiting.unit.Spec().gang) {
     const auto tasks = static_cast<std::int64_t>(waiting.unit.tasks.size());
+    const std::int64_t first_runs = waiting.CountFirstRuns();
+    if (first_runs > first_runs_left && first_runs_left < kMaxTasksAtWork) {
+      return;
+    }
     if (this->ScheduleUnit(waiting, pass)) {
       pass.placements_left -= tasks;
+      first_runs_left -= first_runs;
     } else {
       this->ReserveWorkers(waiting, pass);
     }
@@ -367,6 +374,10 @@
       return;
     }
     waiting.unit.tasks = {index};
+    const std::int64_t first_runs = waiting.CountFirstRuns();
+    if (first_runs > first_runs_left) {
+      continue;
+    }
     waiting.runnable_since = waiting.Step().WaitingSince(index);
     if (waiting.runnable_since >= failed_since) {
       continue;
@@ -374,6 +385,7 @@
     if (this->ScheduleUnit(waiting, pass)) {
       --new_runs_left;
       --pass.placements_left;
+      first_runs_left -= first_runs;
     } else if (waiting.unit.worker_crashes == 0) {
       failed_since = waiting.runnable_since;
     }
@@ -382,6 +394,17 @@
                                       listed < waiting.waiting_tasks);
 }
 
+std::int64_t& JobPlanner::FirstRunsLeft(const WaitingUnit& waiting,
+                                        Pass& pass) {
+  const auto [left, added] =
+      pass.first_runs_left.try_emplace(waiting.job->submission.id, 0);
+  if (added) {
+    left->second =
+        std::int64_t{kMaxTasksAtWork} - waiting.job->CountTasksAtWork();
+  }
+  return left->second;
+}
+
 // Runs that the pass adds are counted as they are assigned.
 void JobPlanner::CountTasksByWorker(WaitingUnit& waiting) {
   if (waiting.unit.Spec().max_per_worker == 0) {
--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -80,10 +80,6 @@
   std::map<WorkerIncarnation, std::uint32_t> numbers;
 };
 
-bool HasNeverRun(const TaskState& task) {
-  return task.phase == TaskPhase::kWaiting && task.run == 0;
-}
-
 /// The tasks of a job, numbered through all occurrences and steps.
 class TaskNumbers {
  public:
@@ -331,7 +327,24 @@
   return submission;
 }
 
-std::string EncodeProgress(const Job& job) {
+namespace {
+
+/// Which checkpoints a record contains.
+enum class StoredCheckpoints { kAll, kWithoutRunning, kNone };
+
+bool IsStored(StoredCheckpoints stored, TaskPhase phase) {
+  switch (stored) {
+    case StoredCheckpoints::kAll:
+      return true;
+    case StoredCheckpoints::kWithoutRunning:
+      return phase != TaskPhase::kRunning && phase != TaskPhase::kStopping;
+    case StoredCheckpoints::kNone:
+      break;
+  }
+  return false;
+}
+
+std::string EncodeProgress(const Job& job, StoredCheckpoints checkpoints) {
   records::JobRecord record;
   record.set_phase(static_cast<std::uint32_t>(job.phase));
   record.set_cancel_requested(job.cancel_requested);
@@ -353,7 +366,7 @@
         failures->set_last_failed_run(step.last_failed_run);
       }
       for (const auto& [i, task] : step.tasks) {
-        if (task.phase == TaskPhase::kDone || HasNeverRun(task)) {
+        if (task.phase == TaskPhase::kDone || task.HasNeverRun()) {
           continue;
         }
         auto* stored = record.add_tasks();
@@ -364,7 +377,9 @@
         stored->set_run(task.run);
         stored->set_failures(task.failures);
         stored->set_worker_crashes(task.worker_crashes);
-        stored->set_checkpoint(task.checkpoint);
+        if (IsStored(checkpoints, task.phase)) {
+          stored->set_checkpoint(task.checkpoint);
+        }
         if (task.HoldsResources()) {
           stored->set_worker(workers.NumberOf(task.worker));
         }
@@ -374,6 +389,21 @@
   return record.SerializeAsString();
 }
 
+}  // namespace
+
+// A job whose record the log refuses would stop the planner, and with it all
+// other jobs.
+std::string EncodeProgress(const Job& job) {
+  for (const auto checkpoints :
+       {StoredCheckpoints::kAll, StoredCheckpoints::kWithoutRunning}) {
+    std::string record = EncodeProgress(job, checkpoints);
+    if (record.size() <= kMaxProgressBytes) {
+      return record;
+    }
+  }
+  return EncodeProgress(job, StoredCheckpoints::kNone);
+}
+
 Result<void> DecodeProgress(const std::string& bytes, Job& job) {
   records::JobRecord record;
   if (!record.ParseFromString(bytes) ||
--- a/packages/workload/record_codec.h
+++ b/packages/workload/record_codec.h
@@ -1,6 +1,8 @@
 #ifndef PACKAGES_WORKLOAD_RECORD_CODEC_H_
 #define PACKAGES_WORKLOAD_RECORD_CODEC_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "packages/core/result.h"
@@ -19,7 +21,17 @@
 /// Decodes an accepted job. Fails with RecordError.
 Result<Submission> DecodeSubmission(const JobId& id, const std::string& bytes);
 
-/// Encodes the progress of a job, without its submission, for storage.
+/// Size of a progress record, in bytes, from which checkpoints are left out.
+/// The platform's log takes records of 262,144 bytes, including their keys.
+inline constexpr std::size_t kMaxProgressBytes = 250'000;
+
+/// Number of tasks of one job that may have run and not completed at a time, so
+/// that its progress record stays below kMaxProgressBytes without checkpoints.
+inline constexpr std::uint32_t kMaxTasksAtWork = 6'000;
+
+/// Encodes the progress of a job, without its submission, for storage. A record
+/// that would be too long has no checkpoints of running tasks, which their
+/// workers list again, or else none at all.
 std::string EncodeProgress(const Job& job);
 
 /// Decodes progress into `job`, which must hold the matching submission. Fails
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "packages/workload/record_codec.h"
 #include "platform/advice_client.h"
 #include "platform/configuration_codec.h"
 #include "platform/heartbeat_codec.h"
@@ -126,6 +127,27 @@
   }
 }
 
+TEST_CASE("a gang that no record can hold is refused with its reason") {
+  // Guards against a job that is accepted and can never be stored at work.
+  const auto body = [](std::uint32_t count) {
+    return R"({"steps":[{"count":1},{"gang":true,"count":)" +
+           std::to_string(count) + "}]}";
+  };
+  CHECK(DecodeJobSpec(body(workload::kMaxTasksAtWork)));
+  const auto error = ErrorFrom<FormatError>(
+      [&] { return DecodeJobSpec(body(workload::kMaxTasksAtWork + 1)); });
+  REQUIRE(error.has_value());
+  CHECK(error->message.starts_with("step 1 is a gang of 6001 tasks"));
+}
+
+TEST_CASE("a step that is named twice in depends_on is needed once") {
+  // Guards against passes that take longer with each repetition.
+  const auto spec = DecodeJobSpec(R"({"steps":[{"count":1},{"count":1},)"
+                                  R"({"count":1,"depends_on":[1,0,1,0,0]}]})");
+  REQUIRE(spec);
+  CHECK(spec->steps[2].depends_on == std::vector<std::uint32_t>{0, 1});
+}
+
 TEST_CASE("a heartbeat of another writer names no worker") {
   const InstanceId agent("side-1");
   const WorkerId worker("i-1");
--- a/tests/workload/record_size_test.cc
+++ b/tests/workload/record_size_test.cc
@@ -89,6 +89,39 @@
   }
 }
 
+TEST_CASE("a record with thousands of checkpoints leaves out those of runs") {
+  // Guards against a job whose record the log refuses, so that no job goes on.
+  Job job = Job::Of(MakeJob("j", MakeStep(kMaxTasksAtWork, {50, 100, 0})));
+  const std::string checkpoint(64, 'c');
+  for (std::uint32_t i = 0; i < kMaxTasksAtWork; ++i) {
+    TaskState& task = job.Open({job.submission.id, 0, 0, i});
+    task.run = 1;
+    task.checkpoint = checkpoint;
+    task.phase = i % 1'000 == 0 ? TaskPhase::kWaiting : TaskPhase::kRunning;
+    if (task.HoldsResources()) {
+      task.worker = {InstanceId("a" + std::to_string(i % 900)),
+                     WorkerId("w" + std::to_string(i % 900)),
+                     1'796'668'477'094};
+    }
+  }
+  const std::string progress = EncodeProgress(job);
+  CHECK(progress.size() < kLongestRecord);
+  Job restored = Restore(job, progress);
+  for (std::uint32_t i = 0; i < kMaxTasksAtWork; ++i) {
+    const TaskKey key{job.submission.id, 0, 0, i};
+    REQUIRE(restored.Find(key) != nullptr);
+    const TaskState& task = *restored.Find(key);
+    CHECK(task.phase == job.Find(key)->phase);
+    CHECK(task.worker == job.Find(key)->worker);
+    CHECK(task.checkpoint == (task.HoldsResources() ? "" : checkpoint));
+  }
+  // Beside too many checkpoints of waiting tasks, the job still goes on.
+  for (auto& [index, task] : job.occurrences[0].steps[0].tasks) {
+    task.phase = TaskPhase::kWaiting;
+  }
+  CHECK(EncodeProgress(job).size() < kLongestRecord);
+}
+
 TEST_CASE("a completed task that was stored in a range is not started again") {
   // Guards against tasks that a new planner runs twice.
   const Job job = MakeScheduledJob(kRepeats - 1);
