--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -152,4 +152,9 @@
               --seconds 15 --gateways 2 --agents 4)
     set_tests_properties(soak.${seed} PROPERTIES LABELS soak TIMEOUT 180 RUN_SERIAL TRUE)
   endforeach()
+  # Jobs of hundreds of tasks beside schedules of thousands of occurrences.
+  add_test(NAME soak.wide
+    COMMAND carobrill_soak --program $<TARGET_FILE:carobrilld> --seed 3 --seconds 15
+            --gateways 2 --agents 4 --wide-percent 20 --schedules 3)
+  set_tests_properties(soak.wide PROPERTIES LABELS soak TIMEOUT 180 RUN_SERIAL TRUE)
 endfunction()
--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -26,6 +26,12 @@
         static_cast<std::size_t>(step.gang ? 2 + below(3) : 1 + below(4));
     step.accelerators = 1 << below(3);
     step.after_previous = i > 0;
+    if (this->wide_percent > 0 && below(100) < this->wide_percent) {
+      step.gang = false;
+      step.tasks = static_cast<std::size_t>(200 + below(400));
+      step.accelerators = 0;
+      step.cpu_millis = 25;
+    }
     job.steps.push_back(step);
   }
   const std::lock_guard lock(this->mutex);
@@ -74,7 +80,7 @@
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
     const JobStep& step = job.steps[i];
     nlohmann::json wire = {{"count", step.tasks},
-                           {"cpu", 1000},
+                           {"cpu", step.cpu_millis},
                            {"mem_mb", 100},
                            {"gpu", step.accelerators},
                            {"estimate_ms", 5000}};
@@ -89,4 +95,15 @@
   return nlohmann::json{{"task_spec", "work"}, {"steps", steps}}.dump();
 }
 
+std::string ScheduleBody() {
+  constexpr std::int64_t kMinuteMs = 60'000;
+  return nlohmann::json{
+      {"task_spec", "work"},
+      {"steps", {{{"count", 78}, {"cpu", 500}, {"mem_mb", 100}}}},
+      {"repeat_count", 8'640},
+      {"first_ms", standin::UnixMs() + 60 * kMinuteMs},
+      {"interval_ms", 5 * kMinuteMs}}
+      .dump();
+}
+
 }  // namespace carobrill::soak
--- a/tests/soak/job_book.h
+++ b/tests/soak/job_book.h
@@ -14,6 +14,7 @@
 struct JobStep {
   std::size_t tasks = 1;
   int accelerators = 1;
+  int cpu_millis = 1'000;
   bool gang = false;
   /// All tasks of the previous step must be done first.
   bool after_previous = false;
@@ -43,6 +44,9 @@
 /// The jobs of all clients. Thread-safe.
 class JobBook {
  public:
+  /// `wide_percent` of the jobs have hundreds of tasks.
+  explicit JobBook(int wide_percent) : wide_percent(wide_percent) {}
+
   /// Adds a random job.
   JobEntry Create(std::mt19937_64& random);
   /// Applies an answer to a POST; status 0 if there was none.
@@ -58,6 +62,7 @@
   std::vector<UnknownAnswer> UnknownAnswers();
 
  private:
+  int wide_percent;
   std::mutex mutex;
   std::map<std::string, JobEntry> jobs;
   std::vector<UnknownAnswer> unknown;
@@ -66,6 +71,10 @@
 /// The body of the POST that submits the job.
 std::string SubmissionBody(const JobEntry& job);
 
+/// The same for a schedule of 8,640 occurrences, of which the first is due in
+/// an hour.
+std::string ScheduleBody();
+
 }  // namespace carobrill::soak
 
 #endif  // TESTS_SOAK_JOB_BOOK_H_
--- a/tests/soak/options.cc
+++ b/tests/soak/options.cc
@@ -24,6 +24,8 @@
     "60000 (2500)\n"
     "  --held WHAT     bytes that a cut holds back: release, drop or either "
     "(either)\n"
+    "  --wide-percent N  share of jobs of hundreds of tasks, 0 to 100 (0)\n"
+    "  --schedules N   schedules of thousands of occurrences, 0 to 100 (0)\n"
     "  --logs FOLDER   new folder for settings and logs (a temporary one)\n"
     "  --keep-logs     keep the folder also when all rules held\n";
 
@@ -89,6 +91,18 @@
       return ReadNumber(text, 100, 60'000, options.fault_gap_ms);
     case 'h':
       return ReadHeld(text, options.held);
+    case 'w':
+      if (!ReadNumber(text, 0, 100, number)) {
+        return false;
+      }
+      options.wide_percent = static_cast<int>(number);
+      return true;
+    case 'c':
+      if (!ReadNumber(text, 0, 100, number)) {
+        return false;
+      }
+      options.schedules = static_cast<int>(number);
+      return true;
     case 'l':
       options.folder = text;
       return !text.empty();
@@ -112,6 +126,8 @@
       {"faults", required_argument, nullptr, 'f'},
       {"gap-ms", required_argument, nullptr, 'm'},
       {"held", required_argument, nullptr, 'h'},
+      {"wide-percent", required_argument, nullptr, 'w'},
+      {"schedules", required_argument, nullptr, 'c'},
       {"logs", required_argument, nullptr, 'l'},
       {"keep-logs", no_argument, nullptr, 'k'},
       {nullptr, 0, nullptr, 0}};
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -22,6 +22,10 @@
   std::set<std::string> faults;
   /// Mean time between the starts of two fault series.
   std::int64_t fault_gap_ms = 2'500;
+  /// Share of the jobs that have hundreds of tasks, in percent.
+  int wide_percent = 0;
+  /// Number of schedules of thousands of occurrences that are not due yet.
+  int schedules = 0;
   /// Folder of settings and logs; a temporary one if empty.
   std::string folder;
   bool keep_logs = false;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "tests/soak/checker.h"
 #include "tests/soak/client.h"
 #include "tests/soak/fault_series.h"
+#include "tests/soak/http_connection.h"
 #include "tests/soak/options.h"
 #include "tests/soak/site.h"
 
@@ -128,6 +130,29 @@
   std::fflush(stdout);
 }
 
+// Submits schedules that are not due before the soak ends. Returns whether all
+// were accepted.
+bool SubmitSchedules(Site& site, const Options& options) {
+  constexpr std::int64_t kDeadlineMs = 3'000;
+  HttpConnection connection(site.gateways.front().front);
+  std::mt19937_64 random(options.seed);
+  for (int i = 0; i < options.schedules; ++i) {
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx",
+                  static_cast<unsigned long long>(random()));
+    const standin::Response response =
+        connection.Call("POST", kQueues.front().prefix + std::string(id),
+                        {{"Host", kHost},
+                         {"Authorization", std::string("Bearer ") + kKey},
+                         {"Content-Type", "application/json"}},
+                        ScheduleBody(), kDeadlineMs);
+    if (response.status != 200) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool AnyDone(Site& site) {
   for (const standin::RunSpan& span : site.runs.Spans()) {
     if (span.how == "done") {
@@ -147,7 +172,12 @@
                  folder.c_str());
     return kCannotRun;
   }
-  JobBook book;
+  if (!SubmitSchedules(site, options)) {
+    std::fprintf(stderr, "a schedule was not accepted; logs: %s\n",
+                 folder.c_str());
+    return kCannotRun;
+  }
+  JobBook book(options.wide_percent);
   std::vector<std::unique_ptr<Client>> clients;
   for (std::size_t i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<Client>(
