--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -1,6 +1,11 @@
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "packages/workload/record_codec.h"
 #include "platform/advice_client.h"
@@ -140,6 +145,25 @@
   CHECK(error->message.starts_with("step 1 is a gang of 6001 tasks"));
 }
 
+TEST_CASE("a schedule whose due times overflow is refused") {
+  // Guards against occurrences that are due in the distant past.
+  const auto body = [](std::int64_t first_ms, std::int64_t interval_ms) {
+    return R"({"steps":[{"count":1}],"repeat_count":3,"first_ms":)" +
+           std::to_string(first_ms) + R"(,"interval_ms":)" +
+           std::to_string(interval_ms) + "}";
+  };
+  constexpr std::int64_t kLatest = std::numeric_limits<std::int64_t>::max();
+  CHECK(DecodeJobSpec(body(kLatest - 300, 100)));
+  for (const auto& [first_ms, interval_ms] :
+       {std::pair<std::int64_t, std::int64_t>{kLatest - 299, 100},
+        {1'000, kLatest / 2},
+        {1'000, -1},
+        {-1, 1'000}}) {
+    const std::string text = body(first_ms, interval_ms);
+    CHECK(FailsToDecode([&] { return DecodeJobSpec(text); }));
+  }
+}
+
 TEST_CASE("a step that is named twice in depends_on is needed once") {
   // Guards against passes that take longer with each repetition.
   const auto spec = DecodeJobSpec(R"({"steps":[{"count":1},{"count":1},)"
--- a/tests/soak/job_book.cc
+++ b/tests/soak/job_book.cc
@@ -28,7 +28,7 @@
     step.after_previous = i > 0;
     if (this->wide_percent > 0 && below(100) < this->wide_percent) {
       step.gang = false;
-      step.tasks = static_cast<std::size_t>(200 + below(400));
+      step.tasks = 200 + static_cast<std::size_t>(below(400));
       step.accelerators = 0;
       step.cpu_millis = 25;
     }
