--- a/tests/gateway/job_size_test.cc
+++ b/tests/gateway/job_size_test.cc
@@ -115,6 +115,15 @@
     return ended;
   }
 
+  /// Plans, and ends all runs.
+  void Advance() {
+    this->time.now.ms += 500;
+    this->AddWorker();
+    this->Plan();
+    this->EndRuns();
+    this->Store();
+  }
+
   JobView view;
   workload::JobPlanner planner{workload::JobPlannerSettings{}};
   TransitionTime time{Instant{1'000}, Instant{1'000}};
@@ -177,11 +186,7 @@
     return gateway.planner.Jobs().at(submission.id).phase;
   };
   for (int i = 0; i < 1'000 && !IsFinal(phase()); ++i) {
-    gateway.time.now.ms += 500;
-    gateway.AddWorker();
-    gateway.Plan();
-    gateway.EndRuns();
-    gateway.Store();
+    gateway.Advance();
     if (i % 5 == 0) {
       // Another planner goes on from what is stored.
       gateway.planner.Load(*gateway.view.Find(submission.id), gateway.time);
@@ -210,10 +215,7 @@
   gateway.AddWorker();
   gateway.time.wall = Instant{kDueMs + kRepeats * 5 * kMinuteMs};
   for (int i = 0; i < 50; ++i) {
-    gateway.time.now.ms += 500;
-    gateway.AddWorker();
-    gateway.Plan();
-    gateway.EndRuns();
+    gateway.Advance();
   }
   CHECK(gateway.runs.size() == kRepeats);
 }
--- a/tests/worker_agent/many_runs_test.cc
+++ b/tests/worker_agent/many_runs_test.cc
@@ -100,7 +100,7 @@
 
 /// A worker that answers a call per ms, in order. A call that is answered after
 /// its deadline counts as unanswered.
-struct SlowWorker {
+struct SlowWorker : FakePort {
   void Start(const StartOrder& order,
              Instant deadline,
              std::function<void(StartReply)> done) {
@@ -114,16 +114,6 @@
       done({OrderResult::kDone, 1});
     });
   }
-  void Stop(const StopOrder&,
-            Instant,
-            const std::function<void(OrderResult)>& done) const {
-    done(OrderResult::kDone);
-  }
-  void Throttle(const PaceOrder&,
-                Instant,
-                const std::function<void(OrderResult)>& done) const {
-    done(OrderResult::kDone);
-  }
   void RenewLeases(const LeaseRequest&,
                    Instant deadline,
                    std::function<void(LeaseReply)> done) {
