--- a/packages/workload/record_codec.cc
+++ b/packages/workload/record_codec.cc
@@ -105,10 +105,11 @@
 
   /// Returns the step of a task with this number within its occurrence.
   std::uint32_t StepOf(std::uint64_t number) const {
-    const auto next = std::ranges::upper_bound(this->first_of_step, number) - 1;
-    return static_cast<std::uint32_t>(next - this->first_of_step.begin());
+    const auto step = std::ranges::upper_bound(this->first_of_step, number) - 1;
+    return static_cast<std::uint32_t>(step - this->first_of_step.begin());
   }
 
+  /// Returns the number of a step's first task within its occurrence.
   std::uint64_t FirstOfStep(std::uint32_t step) const {
     return this->first_of_step[step];
   }
