Let each repeated start keep its own delay

Cause: searches for due orders once for many results, at the earliest time that is known and then only at the latest.

Change: the searches of 5 ms are one, and each interval with a due order has its own.

--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -120,6 +121,8 @@
   }
 
  private:
+  static constexpr std::int64_t kSearchIntervalMs = 5;
+
   bool Draining() const {
     return this->description.availability ==
            workload::WorkerAvailability::kDraining;
@@ -378,21 +381,17 @@
   }
 
   // Thousands of results may arrive at once, and a search for due orders visits
-  // all runs.
+  // all runs. So the searches of one interval become one, at its end.
   void SendDueAt(Instant due_at) {
-    this->last_due_at = std::max(this->last_due_at, due_at);
-    if (this->next_due_at <= due_at) {
+    const Instant search{(due_at.ms / kSearchIntervalMs + 1) *
+                         kSearchIntervalMs};
+    if (!this->searches.insert(search).second) {
       return;
     }
-    this->next_due_at = due_at;
-    this->task.PostAt(due_at, [this, alive = this->alive, due_at] {
-      if (!*alive || this->next_due_at != due_at) {
-        return;
-      }
-      this->next_due_at = Instant::Never();
-      this->SendDue();
-      if (this->last_due_at > due_at) {
-        this->SendDueAt(this->last_due_at);
+    this->task.PostAt(search, [this, alive = this->alive, search] {
+      if (*alive) {
+        this->searches.erase(search);
+        this->SendDue();
       }
     });
   }
@@ -626,10 +625,8 @@
   LeaseAuthority authority;
   /// The last search for due orders left starts over.
   bool starts_left = false;
-  /// Boot clock: when due orders are searched next, and for the last time as
-  /// far as is known now.
-  Instant next_due_at = Instant::Never();
-  Instant last_due_at;
+  /// Boot clock: when due orders are searched.
+  std::set<Instant> searches;
   std::uint64_t acknowledged_end = 0;
   std::uint64_t listed_end = 0;
   WorkerClock worker_clock;
--- a/tests/worker_agent/many_runs_test.cc
+++ b/tests/worker_agent/many_runs_test.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 #include <deque>
 #include <functional>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -177,5 +178,57 @@
   CHECK(fixture.port.unanswered == 0);
 }
 
+/// A worker that answers a start when the test says so, and executes none.
+struct HoldingWorker : FakePort {
+  void Start(const StartOrder& order,
+             Instant,
+             std::function<void(StartReply)> done) {
+    this->received_at[order.task.index].push_back(BootClock{}.Now());
+    this->calls[order.task.index] = std::move(done);
+  }
+
+  std::map<std::uint32_t, std::vector<Instant>> received_at;
+  std::map<std::uint32_t, std::function<void(StartReply)>> calls;
+};
+
+TEST_CASE("a start is repeated once its own delay has passed") {
+  // Guards against a repetition that waits until the newest unanswered start is
+  // repeated.
+  WorkerAgentSettings settings;
+  settings.runs.retry_delay_ms = 1'000;
+  AgentFixture<HoldingWorker> fixture(settings);
+  fixture.Heartbeat(1, workload::WorkerAvailability::kReady);
+  rpc::ExchangeRequest request;
+  request.mutable_worker()->set_id("w");
+  request.mutable_worker()->set_born_unix_ms(1);
+  request.set_authority_until_agent_ms(BootClock{}.Now().ms + kLeaseMs);
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    auto* order = request.add_orders();
+    order->mutable_task()->set_job(kWideJob);
+    order->mutable_task()->set_index(i);
+    order->set_run(1);
+  }
+  fixture.Exchange(request);
+  Instant last_answer;
+  for (const auto& [index, pause_ms] :
+       {std::pair(0U, 100), std::pair(1U, 700), std::pair(2U, 0)}) {
+    fixture.task.Run([&] {
+      last_answer = BootClock{}.Now();
+      fixture.port.calls.at(index)({OrderResult::kNoAnswer, 0});
+    });
+    g_usleep(static_cast<gulong>(pause_ms) * 1'000);
+  }
+  const Instant last_repetition =
+      last_answer.After(settings.runs.retry_delay_ms);
+  while (BootClock{}.Now() < last_repetition.After(200)) {
+    g_usleep(10'000);
+  }
+  fixture.task.Run([&] {
+    const auto& received = fixture.port.received_at.at(1);
+    REQUIRE(received.size() == 2);
+    CHECK(received[1] < last_repetition);
+  });
+}
+
 }  // namespace
 }  // namespace carobrill::worker_agent
