--- a/tests/worker_agent/many_runs_test.cc
+++ b/tests/worker_agent/many_runs_test.cc
@@ -210,13 +210,13 @@
   }
   fixture.Exchange(request);
   Instant last_answer;
-  for (const auto& [index, pause_ms] :
+  for (const auto& answer :
        {std::pair(0U, 100), std::pair(1U, 700), std::pair(2U, 0)}) {
     fixture.task.Run([&] {
       last_answer = BootClock{}.Now();
-      fixture.port.calls.at(index)({OrderResult::kNoAnswer, 0});
+      fixture.port.calls.at(answer.first)({OrderResult::kNoAnswer, 0});
     });
-    g_usleep(static_cast<gulong>(pause_ms) * 1'000);
+    g_usleep(static_cast<gulong>(answer.second) * 1'000);
   }
   const Instant last_repetition =
       last_answer.After(settings.runs.retry_delay_ms);
