Bound calls of peers by the connections of an instance

Cause: a call that a gateway executes for a peer takes a connection to the store, and up to 96 of them were executed whatever the limit for connections. Sampled from /proc beside the test: 101 of the 143 descriptors were connections to the store. The rest depends on how many connections gRPC has yet to release, so the test passed on a quiet machine (112 and 114) and came close beside a build (127).

Change: such calls stay within a quarter of the connections of the main port, and the waiting reads among them in proportion. Nothing changes with 384 connections or more, as on every deployment with the derived limit.

--- a/packages/daemon/settings_limits.cc
+++ b/packages/daemon/settings_limits.cc
@@ -56,6 +56,10 @@
   return {};
 }
 
+/// Connections of the main port for each call of a peer, which takes a
+/// connection to the store.
+constexpr std::size_t kPeerCallShare = 4;
+
 std::size_t OrDerived(std::int64_t setting, std::int64_t derived) {
   return static_cast<std::size_t>(setting != 0 ? setting : derived);
 }
@@ -139,4 +143,20 @@
   return limits;
 }
 
+// A limit for connections also bounds the descriptors that callers take without
+// one: any client of the gRPC port may cause calls of the store.
+PeerCallLimits PeerCallLimitsOf(const Settings& settings) {
+  const auto max_calls =
+      static_cast<std::size_t>(settings.gateway.max_peer_calls);
+  const auto max_waits =
+      static_cast<std::size_t>(settings.gateway.max_peer_waits);
+  const std::size_t connections =
+      MainPortLimits(settings.instance).max_connections;
+  PeerCallLimits limits;
+  limits.max_calls = std::min(
+      max_calls, std::max<std::size_t>(1, connections / kPeerCallShare));
+  limits.max_waits = max_waits * limits.max_calls / max_calls;
+  return limits;
+}
+
 }  // namespace carobrill::daemon
--- a/packages/daemon/settings_limits.h
+++ b/packages/daemon/settings_limits.h
@@ -1,6 +1,8 @@
 #ifndef PACKAGES_DAEMON_SETTINGS_LIMITS_H_
 #define PACKAGES_DAEMON_SETTINGS_LIMITS_H_
 
+#include <cstddef>
+
 #include "packages/daemon/settings.h"
 #include "packages/http/client_limits.h"
 #include "packages/rpc/rpc_limits.h"
@@ -16,6 +18,16 @@
 /// Limits for the gRPC port of a role.
 rpc::RpcLimits RpcPortLimits(Role role, const InstanceSettings& instance);
 
+/// Limits for the calls of other gateways on the store.
+struct PeerCallLimits {
+  /// Calls that are executed at the same time.
+  std::size_t max_calls = 0;
+  /// Reads among them that may wait for new records.
+  std::size_t max_waits = 0;
+};
+
+PeerCallLimits PeerCallLimitsOf(const Settings& settings);
+
 }  // namespace carobrill::daemon
 
 #endif  // PACKAGES_DAEMON_SETTINGS_LIMITS_H_
--- a/packages/daemon/settings_table.cc
+++ b/packages/daemon/settings_table.cc
@@ -376,7 +376,7 @@
       {"gateway.peer_calls",
        [](S& s) -> SettingTarget { return &s.gateway.max_peer_calls; },
        "Calls of other gateways that are executed on the store at the same "
-       "time.",
+       "time, at most a quarter of the connections of the main port.",
        "calls", 1, kMaxPeerCalls},
       {"gateway.peer_waits",
        [](S& s) -> SettingTarget { return &s.gateway.max_peer_waits; },
--- a/tests/daemon/settings_limits_test.cc
+++ b/tests/daemon/settings_limits_test.cc
@@ -93,5 +93,25 @@
   CHECK(limits.max_connections == 1'948);
 }
 
+TEST_CASE("calls of peers stay within a share of the connections") {
+  // Guards against a gateway with few connections that opens 96 more to the
+  // store for clients of its gRPC port.
+  Settings settings;
+  settings.instance.max_descriptors = 3'075;
+  CHECK(PeerCallLimitsOf(settings).max_calls == 96);
+  CHECK(PeerCallLimitsOf(settings).max_waits == 32);
+  settings.instance.clients.max_connections = 100;
+  CHECK(PeerCallLimitsOf(settings).max_calls == 25);
+  CHECK(PeerCallLimitsOf(settings).max_waits == 8);
+  settings.instance.clients.max_connections = 1;
+  CHECK(PeerCallLimitsOf(settings).max_calls == 1);
+  CHECK(PeerCallLimitsOf(settings).max_waits == 0);
+  settings.gateway.max_peer_calls = 10;
+  settings.gateway.max_peer_waits = 10;
+  settings.instance.clients.max_connections = 100;
+  CHECK(PeerCallLimitsOf(settings).max_calls == 10);
+  CHECK(PeerCallLimitsOf(settings).max_waits == 10);
+}
+
 }  // namespace
 }  // namespace carobrill::daemon
