Start large gangs one after another

Found by reading.

Change: a gang of more than 16 tasks waits while all unconfirmed starts take 8 MB.

Evidence: "large gangs start one after another" failed without the change (two gangs of 12 MB at once) and passes. Not played with real processes.

--- a/packages/workload/job_planner_placement.cc
+++ b/packages/workload/job_planner_placement.cc
@@ -166,6 +166,11 @@
     if (first_runs > first_runs_left && first_runs_left < kMaxTasksAtWork) {
       return;
     }
+    // The starts of a gang cannot be paced, so they wait for earlier ones.
+    if (waiting.unit.tasks.size() > kUnpacedStarts &&
+        pass.map.StartingBytes() >= kMaxStartingBytes) {
+      return;
+    }
     if (this->ScheduleUnit(waiting, pass)) {
       pass.placements_left -= tasks;
       first_runs_left = std::max<std::int64_t>(0, first_runs_left - first_runs);
--- a/tests/workload/wide_job_test.cc
+++ b/tests/workload/wide_job_test.cc
@@ -236,6 +236,33 @@
   }
 }
 
+TEST_CASE("large gangs start one after another") {
+  // Guards against the orders of several gangs at once, which exceed the memory
+  // of the planner.
+  constexpr int kGangs = 5;
+  Cluster cluster(11);
+  StepSpec gang = MakeStep(1'500, kSmall);
+  gang.gang = true;
+  for (int i = 0; i < kGangs; ++i) {
+    Submission submission = MakeJob("a" + std::to_string(i), gang);
+    submission.spec.payload = std::string(8'000, 'x');
+    cluster.fixture.planner.Submit(submission);
+  }
+  for (std::uint32_t started = 1; started <= kGangs; ++started) {
+    cluster.Pass();
+    CHECK(cluster.fixture.ActiveTasks().size() ==
+          gang.tasks * started + 2 * (started - 1));
+    // A gang of a few tasks does not wait.
+    const std::string small = "b" + std::to_string(started);
+    StepSpec small_gang = gang;
+    small_gang.tasks = 2;
+    cluster.Submit(small, "other", small_gang);
+    cluster.Pass();
+    CHECK(cluster.CountActive(small) == 2);
+    cluster.ConfirmStarts();
+  }
+}
+
 TEST_CASE("wide jobs leave other accounts their first tasks") {
   // Guards against a job that waits beside free capacity until all wide jobs of
   // a better rank have been placed.
