--- a/packages/daemon/settings_limits.h
+++ b/packages/daemon/settings_limits.h
@@ -26,6 +26,8 @@
   std::size_t max_waits = 0;
 };
 
+/// The configured limits, with `max_calls` at most a quarter of the connections
+/// that the gRPC port of the instance accepts.
 PeerCallLimits PeerCallLimitsOf(const Settings& settings);
 
 }  // namespace carobrill::daemon
--- a/packages/worker_agent/worker_agent.h
+++ b/packages/worker_agent/worker_agent.h
@@ -121,6 +121,7 @@
   }
 
  private:
+  /// Due times are searched for at multiples of this interval.
   static constexpr std::int64_t kSearchIntervalMs = 5;
 
   bool Draining() const {
