Find the gateway of a soak's connection by its addresses

Cause: the proxies read /proc/net/tcp for each connection that they accept. The table has a line for each connection of the machine, closed ones included. Beside 5,000 closed connections 1,024 look-ups took 37 s. Once an accept takes longer than the 1 s after which gRPC gives an attempt up, a proxy accepts dead connections only. Processor time alone was ruled out: four soaks at once held at a load of 15, 27 and 45.

Change: the kernel is asked for the one socket by both addresses (sock_diag). soak_tests is new; ctest runs it as soak.parts.

Measured: "all gateways reconnect to all agents before an attempt times out" failed with the earlier look-up (37.2 s, bound 1 s), passes in 0.1 s.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -138,9 +138,12 @@
 endfunction()
 
 # carobrill_soak(): fault soak of real processes, with short runs of fixed seeds
-# as tests. Long runs are made by hand.
+# as tests, and the tests of its parts. Long runs are made by hand.
 function(carobrill_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/soak/*.cc)
+  set(test_sources ${sources})
+  list(FILTER test_sources INCLUDE REGEX "_test\\.cc$")
+  list(FILTER sources EXCLUDE REGEX "_test\\.cc$")
   add_executable(carobrill_soak ${sources}
                  ${CMAKE_SOURCE_DIR}/tests/client_limits/crowd.cc
                  ${CMAKE_SOURCE_DIR}/tests/client_limits/rpc_traffic.cc)
@@ -157,4 +160,10 @@
     COMMAND carobrill_soak --program $<TARGET_FILE:carobrilld> --seed 3 --seconds 15
             --gateways 2 --agents 4 --wide-percent 20 --schedules 3)
   set_tests_properties(soak.wide PROPERTIES LABELS soak TIMEOUT 180 RUN_SERIAL TRUE)
+  add_executable(soak_tests ${test_sources} ${CMAKE_SOURCE_DIR}/tests/soak/socket_owner.cc
+                 ${CMAKE_SOURCE_DIR}/tests/main.cc)
+  target_compile_options(soak_tests PRIVATE ${CAROBRILL_WARNINGS})
+  target_link_libraries(soak_tests PRIVATE carobrill_core carobrill_rpc doctest::doctest)
+  carobrill_add_labelled_tests(soak_tests soak.parts ${test_sources})
+  set_tests_properties(${carobrill_test_names} PROPERTIES RUN_SERIAL TRUE)
 endfunction()
--- a/tests/soak/endpoint.h
+++ b/tests/soak/endpoint.h
@@ -14,6 +14,12 @@
   std::string ip;
   std::uint16_t port = 0;
 
+  static Endpoint Of(const sockaddr_in& address) {
+    char ip[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &address.sin_addr, ip, sizeof(ip));
+    return {ip, ntohs(address.sin_port)};
+  }
+
   std::string Text() const {
     return this->ip + ":" + std::to_string(this->port);
   }
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -183,7 +183,7 @@
     Connection connection;
     connection.client = client;
     if (this->hooks.source_of) {
-      connection.source = this->hooks.source_of(ntohs(peer.sin_port));
+      connection.source = this->hooks.source_of(Endpoint::Of(peer));
     }
     this->connections.push_back(std::move(connection));
   }
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -45,8 +45,8 @@
 struct ProxyHooks {
   /// Replaced in bytes to the target; both have the same length.
   std::pair<std::string, std::string> rewrite;
-  /// Identifies the process with the given local port.
-  std::function<std::optional<std::size_t>(std::uint16_t port)> source_of;
+  /// Identifies the process with the given end of a connection.
+  std::function<std::optional<std::size_t>(const Endpoint& client)> source_of;
   /// Called with the bytes that have been sent to the target.
   std::function<void(std::string_view)> on_request;
 };
--- a/tests/soak/site.cc
+++ b/tests/soak/site.cc
@@ -152,11 +152,12 @@
 
 std::unique_ptr<Proxy> Site::MakeRpcLink(const Endpoint& rpc) {
   ProxyHooks hooks;
-  hooks.source_of = [this, remote = rpc.port](std::uint16_t local) {
-    return this->GatewayOf(local, remote);
+  const Endpoint listen{this->rpc_proxy_ip, rpc.port};
+  hooks.source_of = [this, listen](const Endpoint& client) {
+    return this->GatewayOf(client, listen);
   };
-  return std::make_unique<Proxy>(Endpoint{this->rpc_proxy_ip, rpc.port}, rpc,
-                                 ++this->next_seed, std::move(hooks));
+  return std::make_unique<Proxy>(listen, rpc, ++this->next_seed,
+                                 std::move(hooks));
 }
 
 std::unique_ptr<Child> Site::MakeChild(const Options& options,
@@ -268,14 +269,14 @@
   return std::nullopt;
 }
 
-std::optional<std::size_t> Site::GatewayOf(std::uint16_t local_port,
-                                           std::uint16_t remote_port) {
+std::optional<std::size_t> Site::GatewayOf(const Endpoint& local,
+                                           const Endpoint& remote) {
   std::vector<pid_t> pids;
   {
     const std::lock_guard lock(this->mutex);
     pids = this->gateway_pids;
   }
-  return SocketOwner(local_port, remote_port, pids);
+  return SocketOwner(local, remote, pids);
 }
 
 }  // namespace carobrill::soak
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -91,10 +91,9 @@
   /// Index of the gateway that has the newest planner claim in the store.
   std::optional<std::size_t> Planner();
 
-  /// Index of the gateway with the connection from `local_port` to
-  /// `remote_port`.
-  std::optional<std::size_t> GatewayOf(std::uint16_t local_port,
-                                       std::uint16_t remote_port);
+  /// Index of the gateway with the connection from `local` to `remote`.
+  std::optional<std::size_t> GatewayOf(const Endpoint& local,
+                                       const Endpoint& remote);
 
   /// Restarts a process; keeps the table of gateway processes up to date.
   void StartChild(Child& child);
--- a/tests/soak/socket_owner.h
+++ b/tests/soak/socket_owner.h
@@ -4,16 +4,17 @@
 #include <sys/types.h>
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "tests/soak/endpoint.h"
+
 namespace carobrill::soak {
 
 /// Returns the index of the process among `pids` that has a TCP socket from
-/// `local_port` to `remote_port`.
-std::optional<std::size_t> SocketOwner(std::uint16_t local_port,
-                                       std::uint16_t remote_port,
+/// `local` to `remote`. Throws std::system_error if the kernel can't be asked.
+std::optional<std::size_t> SocketOwner(const Endpoint& local,
+                                       const Endpoint& remote,
                                        const std::vector<pid_t>& pids);
 
 }  // namespace carobrill::soak
